--- /dev/null
+++ b/garnetrelay/config.py
@@ -0,0 +1,103 @@
+"""RELAY_CONFIG as typed settings. Whatever is wrong with it is said in one line, before anything starts."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from starlingwick import interface as io
+from starlingwick.settings import parse_settings
+
+
+class ConfigError(ValueError):
+    """A configuration that the relay cannot start with."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Where something listens."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: Any) -> Address:
+        host, colon, port = str(text).rpartition(":")
+        if not colon or not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
+            raise ValueError(f"'{text}' is not host:port")
+        return cls(host.removeprefix("[").removesuffix("]"), int(port))
+
+    def __str__(self) -> str:
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a relay is told at its start."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    state: Path
+    seed: int
+    sockets: int
+    disk_bytes: int
+    memory_bytes: int
+    class_names: tuple[str, ...]
+    zone_names: tuple[str, ...]
+    kind_names: tuple[str, ...]
+    load_reports: bool
+    known: Any
+    settings: io.Settings
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """The configuration that the environment points to; ConfigError with one plain line if it is unusable."""
+    try:
+        path = environment["RELAY_CONFIG"]
+        state = Path(environment["RELAY_STATE"])
+    except KeyError as error:
+        raise ConfigError(f"{error.args[0]} is not set") from None
+    try:
+        raw = json.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{path}: not JSON: {error}") from None
+    try:
+        return _config(raw, environment, state)
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error} is missing") from None
+    except (TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def _config(raw: Any, environment: Mapping[str, str], state: Path) -> Config:
+    if not isinstance(raw, dict):
+        raise ValueError("not an object")
+    limits, facts = raw.get("limits", {}), raw["settings"]
+    settings = parse_settings(facts)
+    # The protocol carries one message in a call, whatever the simulator's kinds allow.
+    kinds = tuple(dataclasses.replace(kind, per_call=1) for kind in settings.kinds)
+    return Config(
+        name=str(environment.get("RELAY_NAME") or raw["name"]),
+        listen=Address.parse(environment.get("RELAY_LISTEN") or raw["listen"]),
+        discovery=Address.parse(environment.get("RELAY_DISCOVERY") or raw["discovery"]),
+        state=state,
+        # Any text will do for a seed; a hash keeps it the same from run to run.
+        seed=int.from_bytes(hashlib.sha256(str(raw.get("seed", "")).encode()).digest()[:8]),
+        sockets=int(limits.get("sockets", 1024)),
+        disk_bytes=int(float(limits.get("disk_mb", 64)) * 1_000_000),
+        memory_bytes=int(float(limits.get("memory_mb", 192)) * 1_000_000),
+        class_names=tuple(str(c["name"]) for c in facts["classes"]),
+        zone_names=tuple(str(zone) for zone in facts.get("azs", ())),
+        kind_names=tuple(str(kind) for kind in facts.get("kinds", ())),
+        load_reports=facts.get("loadReport", {}).get("via", "off") != "off",
+        known=raw.get("known"),
+        settings=dataclasses.replace(settings, kinds=kinds),
+    )
--- /dev/null
+++ b/garnetrelay/hosts.py
@@ -0,0 +1,369 @@
+"""Calls and probes to hosts over HTTP/1.1, and the connections they travel on.
+
+A connection carries one call at a time and is used again while it is surely good. An exchange that is
+written in full and then breaks is a reset; before that it never ran. Nothing is ever sent again from here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import select
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import h11
+
+from garnetrelay.config import Address
+from starlingwick import interface as io
+
+log = logging.getLogger(__name__)
+
+SECOND = 1_000_000_000
+IDLE_SHARE = 0.8  # of the host's own idle limit: a call written just as it closes would end as a reset
+MOST_HEAD = 16 * 1024
+MOST_ANSWER = 64 * 1024  # beyond this an answer is not worth reading for its connection's sake
+DRAIN_TIME = 0.5  # seconds for what is left of an answer whose outcome is known
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How an exchange ended."""
+
+    status: io.Status
+    wait: int = 0
+    no_slot: bool = False
+    finished: bool = False
+    report: io.Report | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """One request in HTTP's terms."""
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes = b""
+
+
+class Exchange:
+    """One call or probe: ``prepare`` gives its request at the last instant, or None to abandon it."""
+
+    def __init__(self, host: str, stop_at: int, prepare: Callable[[], Ask | None],
+                 done: Callable[[Outcome], None]) -> None:
+        self.host = host
+        self.stop_at = stop_at
+        self.prepare = prepare
+        self._done = done
+        self.ended = False
+        self.connection: Connection | None = None
+        self.opening: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def end(self, outcome: Outcome) -> None:
+        """Report the outcome, once."""
+        if self.ended:
+            return
+        self.ended = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self._done(outcome)
+
+    def give_up(self, status: io.Status) -> None:
+        """Stop waiting: the connection closes with it. What was not written in full never ran."""
+        if self.ended:
+            return
+        connection = self.connection
+        if connection is None:
+            if self.opening is not None:
+                self.opening.cancel()
+            self.end(Outcome(io.Status.CONNECT_FAILED))
+            return
+        outcome = connection.outcome or Outcome(
+            status if connection.written_in_full() else io.Status.CONNECT_FAILED)
+        connection.abort()
+        self.end(outcome)
+
+
+def parse_report(text: str) -> io.Report | None:
+    """The report in a load header or a probe's body; None where there is none or it can't be read."""
+    values: dict[str, float] = {}
+    for part in text.strip().split(","):
+        name, _, value = part.partition("=")
+        try:
+            values[name.strip()] = float(value)
+        except ValueError:
+            return None
+    left, limit = values.get("x0"), values.get("x1")
+    if left is None and limit is None or not all(math.isfinite(v) and v >= 0 for v in values.values()):
+        return None
+    return io.Report(left=left or 0.0, limit=limit or 0.0)
+
+
+def read_outcome(status: int, headers: list[tuple[bytes, bytes]]) -> Outcome:
+    """What an answer's first line and headers say of a call."""
+    values = {name.lower(): value.decode("latin-1").strip() for name, value in headers}
+    report = parse_report(values[b"x-server-load"]) if b"x-server-load" in values else None
+    match status:
+        case 200:
+            return Outcome(io.Status.OK, finished=True, report=report)
+        case 429:
+            told = values.get(b"x-backoff-ms", "")
+            wait = int(told) * 1_000_000 if told.isascii() and told.isdigit() and len(told) < 10 else 0
+            return Outcome(io.Status.FULL, wait=wait, report=report)
+        case 503 if values.get(b"x-egress-full") == "1":
+            return Outcome(io.Status.MOOT, no_slot=True, report=report)
+        case 503:
+            return Outcome(io.Status.FULL, report=report)
+        case 504:
+            return Outcome(io.Status.MOOT, report=report)
+        case 410:
+            return Outcome(io.Status.MOOT, finished=True, report=report)
+    return Outcome(io.Status.ERROR, report=report)  # 500, and whatever else: it may have run
+
+
+class Connection(asyncio.Protocol):
+    """One connection to a host: carries an exchange, stands idle, or is gone."""
+
+    def __init__(self, pool: Hosts, host: str, address: Address) -> None:
+        self.pool = pool
+        self.host = host
+        self.address = address
+        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD)
+        self.exchange: Exchange | None = None
+        self.outcome: Outcome | None = None  # of the answer whose body is still coming
+        self.received = 0
+        self.body = b""
+        self.transport: asyncio.Transport | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.pool.open.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.pool.forget(self)
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.exchange is not None:
+            self._finish(self.outcome or Outcome(io.Status.RESET), keep=False)
+
+    def eof_received(self) -> bool:
+        # An answer without a length ends with its connection.
+        self.data_received(b"")
+        return False
+
+    @property
+    def usable(self) -> bool:
+        """Idle, and nothing (an end, above all) has come on it since: a look at the socket itself, as what
+        lies there may not have reached us yet, and a call written behind it would end as a reset."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    def written_in_full(self) -> bool:
+        return self.transport is not None and self.transport.get_write_buffer_size() == 0
+
+    def start(self, exchange: Exchange, ask: Ask) -> None:
+        """Write the request."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        self.exchange, exchange.connection = exchange, self
+        self.outcome, self.received, self.body = None, 0, b""
+        headers = [("Host", str(self.address)), *ask.headers]
+        data = self.http.send(h11.Request(method=ask.method, target=ask.target, headers=headers)) or b""
+        if ask.body:
+            data += self.http.send(h11.Data(data=ask.body)) or b""
+        data += self.http.send(h11.EndOfMessage()) or b""
+        assert self.transport is not None
+        self.transport.write(data)
+
+    def data_received(self, data: bytes) -> None:
+        if self.exchange is None:
+            self.abort()  # nothing was asked: whatever this is, the next answer could not be told from it
+            return
+        self.received += len(data)
+        try:
+            self.http.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            log.debug("host %s: answer can't be read: %s", self.host, error)
+            self._finish(self.outcome or Outcome(io.Status.RESET), keep=False)
+        if self.exchange is not None and self.received > MOST_ANSWER + MOST_HEAD:
+            self._finish(self.outcome or Outcome(io.Status.RESET), keep=False)
+
+    def _read_events(self) -> None:
+        while self.exchange is not None:
+            event = self.http.next_event()
+            match event:
+                case h11.Response():
+                    self.outcome = read_outcome(event.status_code, list(event.headers))
+                    if self.outcome.finished and self.exchange is not None:
+                        # The first line settles it. The connection stays busy until the rest has come.
+                        self.exchange.end(self.outcome)
+                        self._expect_rest()
+                case h11.Data():
+                    self.body += bytes(event.data)
+                case h11.EndOfMessage():
+                    self._answer_complete()
+                case h11.InformationalResponse():
+                    pass
+                case h11.ConnectionClosed():
+                    self._finish(self.outcome or Outcome(io.Status.RESET), keep=False)
+                case _:
+                    return  # more has to come
+
+    def _expect_rest(self) -> None:
+        self.timer = asyncio.get_running_loop().call_later(DRAIN_TIME, self.abort)
+
+    def _answer_complete(self) -> None:
+        keep = (self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+                and not self.http.trailing_data[0])
+        if keep:
+            self.http.start_next_cycle()
+        outcome = self.outcome or Outcome(io.Status.RESET)
+        if outcome.report is None and self.body and len(self.body) < 200:
+            outcome = Outcome(outcome.status, outcome.wait, outcome.no_slot, outcome.finished,
+                              parse_report(self.body.decode("latin-1")))
+        self._finish(outcome, keep)
+
+    def _finish(self, outcome: Outcome, keep: bool) -> None:
+        exchange, self.exchange = self.exchange, None
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if keep:
+            self.pool.rest(self)
+        else:
+            self.abort()
+        if exchange is not None:
+            if not keep and outcome.status in (io.Status.RESET, io.Status.TIMEOUT):
+                # A host that broke one connection has likely lost the others too.
+                self.pool.close_idle(self.host)
+            exchange.end(outcome)
+
+    def abort(self) -> None:
+        """Close at once: the host takes this for a call given up."""
+        self.pool.forget(self)
+        self.exchange = None
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Hosts:
+    """The connections to all hosts, and the exchanges on them."""
+
+    def __init__(self, settings: io.Settings, most_open: int) -> None:
+        self.connect_time = settings.limits.connect_timeout / SECOND or 1.0
+        self.idle_time = IDLE_SHARE * settings.limits.conn_idle / SECOND
+        self.most_open = most_open
+        self.addresses: dict[str, Address] = {}
+        self.open: set[Connection] = set()
+        self.idle: dict[str, deque[Connection]] = {}
+        self.opening: set[asyncio.Task[None]] = set()
+
+    def place(self, host: str, address: Address, draining: bool) -> None:
+        """Where a host listens now; connections to elsewhere, or to one that drains, are not kept."""
+        if draining or self.addresses.get(host, address) != address:
+            self.close_idle(host)
+        self.addresses[host] = address
+
+    def remove(self, host: str) -> None:
+        self.addresses.pop(host, None)
+        self.close_idle(host)
+
+    def begin(self, exchange: Exchange) -> None:
+        """Start a call or a probe, on an idle connection where there is a good one."""
+        loop = asyncio.get_running_loop()
+        exchange.timer = loop.call_at(exchange.stop_at / SECOND, exchange.give_up, io.Status.TIMEOUT)
+        idle = self.idle.get(exchange.host)
+        while idle:
+            connection = idle.pop()  # the latest used: the others may age and go
+            if connection.usable:
+                self._go(connection, exchange)
+                return
+            connection.abort()
+        address = self.addresses.get(exchange.host)
+        if address is None:
+            loop.call_soon(exchange.end, Outcome(io.Status.ABANDONED))
+            return
+        if len(self.open) + len(self.opening) >= self.most_open:
+            self._close_oldest_idle()
+        exchange.opening = task = loop.create_task(self._connect(exchange, address))
+        self.opening.add(task)
+        task.add_done_callback(self._opened)
+
+    async def _connect(self, exchange: Exchange, address: Address) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self.connect_time):
+                _, connection = await loop.create_connection(
+                    lambda: Connection(self, exchange.host, address), address.host, address.port)
+        except (OSError, TimeoutError):
+            exchange.end(Outcome(io.Status.CONNECT_FAILED))
+            return
+        if exchange.ended:
+            self.rest(connection)
+        else:
+            self._go(connection, exchange)
+
+    def _opened(self, task: asyncio.Task[None]) -> None:
+        self.opening.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log.error("opening a connection failed", exc_info=error)
+
+    def _go(self, connection: Connection, exchange: Exchange) -> None:
+        ask = exchange.prepare()
+        if ask is None:
+            self.rest(connection)
+            exchange.end(Outcome(io.Status.ABANDONED))
+            return
+        connection.start(exchange, ask)
+
+    def rest(self, connection: Connection) -> None:
+        """Keep a connection for the next call, or not."""
+        if (connection.transport is None or connection.transport.is_closing()
+                or self.addresses.get(connection.host) != connection.address or self.idle_time <= 0):
+            connection.abort()
+            return
+        self.idle.setdefault(connection.host, deque()).append(connection)
+        connection.timer = asyncio.get_running_loop().call_later(self.idle_time, connection.abort)
+
+    def forget(self, connection: Connection) -> None:
+        self.open.discard(connection)
+        if connection.timer is not None:
+            connection.timer.cancel()
+        idle = self.idle.get(connection.host)
+        if idle and connection in idle:
+            idle.remove(connection)
+
+    def close_idle(self, host: str) -> None:
+        for connection in self.idle.pop(host, ()):
+            connection.abort()
+
+    def _close_oldest_idle(self) -> None:
+        for idle in self.idle.values():
+            if idle:
+                idle[0].abort()
+                return
+
+
+def call(ref: str, key: str | None, body: bytes, stop_at: int) -> Ask:
+    """A message's call, as the protocol words it."""
+    left = max(1, (stop_at - time.monotonic_ns()) // 1_000_000)
+    headers = [("X-Request-ID", ref), ("X-Timeout-Ms", str(left)), ("Content-Length", str(len(body)))]
+    if key is not None:
+        headers.insert(1, ("Idempotency-Key", key))
+    return Ask("POST", "/hook", headers, body)
+
+
+def probe(with_report: bool) -> Ask:
+    return Ask("GET", "/-/load" if with_report else "/-/healthy", [])
--- /dev/null
+++ b/garnetrelay/relay.py
@@ -0,0 +1,346 @@
+"""Drives the Pacer: what happens on the sockets becomes its events, its actions become calls and answers.
+
+The only file that talks to the Pacer. It keeps each held message's body and attempt, and writes to the
+journal before anything that must not be forgotten: an answer to a client, an attempt's first byte.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from dataclasses import dataclass
+
+from garnetrelay import hosts as net
+from garnetrelay.clients import Reply, Request, Server
+from garnetrelay.config import Config
+from garnetrelay.discovery import Discovery, News, Reader
+from garnetrelay.journal import Entry, Journal
+from garnetrelay.notices import Notices
+from starlingwick import interface as io
+from starlingwick.control import MAY_HAVE_RUN, Pacer
+
+log = logging.getLogger(__name__)
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+STOP_AFTER = 3 * SECOND  # from SIGTERM to our end: SIGKILL comes no sooner than after 3.7 s
+DRAIN_AFTER = 0.6  # seconds after SIGTERM: new connections come for up to 0.4 s
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A message in our hands, until its end is told and its last attempt has an outcome."""
+
+    ref: str
+    key: str | None
+    body: bytes
+    attempts: int = 0
+    exchange: net.Exchange | None = None
+    over: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Newcomer:
+    """A message whose client waits to hear whether it is taken on."""
+
+    request: Request
+    reply: Reply
+    deadline: int  # wall clock, milliseconds
+
+
+class Relay:
+    """One relay, from its start to its end."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.settings = config.settings
+        self.pacer = Pacer(config.settings, config.seed)
+        self.journal = Journal(config.state, config.disk_bytes)
+        self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
+        self.zones: dict[str, int] = {}  # by host
+        self.dests: set[int] = set()  # all that the list has ever named
+        self.held: dict[str, Held] = {}
+        self.newcomers: dict[str, Newcomer] = {}
+        self.inbox: list[io.Event] = []
+        self.turn_due = False
+        self.alarm: asyncio.TimerHandle | None = None
+        self.stopping = False
+        self.finished = asyncio.Event()
+        # Half of the descriptors for hosts, most of the rest for clients; a few for discovery and files.
+        self.hosts = net.Hosts(config.settings, config.sockets // 2)
+        self.server = Server(self.on_request, max(1, config.sockets // 2 - 48))
+        self.reader = Reader(config)
+        self.discovery = Discovery(config.discovery, self.reader, 0, self.on_news)
+        self.notices = Notices(config.discovery, self.journal.told)
+
+    async def start(self) -> tuple[str, int]:
+        """Pick up what an earlier life left, then listen; the address that clients may use."""
+        self.notices.start()
+        self._read_known()
+        self._recover()
+        self._turn()
+        if self.settings.discovery is io.Discovery.AUTOMATIC:
+            self.discovery.subscribe()  # the Pacer asks only where changes do not come by themselves
+        return await self.server.start(self.config.listen.host, self.config.listen.port)
+
+    def stop(self) -> None:
+        """SIGTERM: serve on while new connections come, then end calls, then ourselves."""
+        if self.stopping:
+            return
+        self.stopping = True
+        log.info("stopping: %d messages held", len(self.held))
+        at = time.monotonic_ns() + STOP_AFTER
+        self._post(io.Stopping(at))
+        loop = asyncio.get_running_loop()
+        loop.call_later(DRAIN_AFTER, self._drain)
+        loop.call_at(at / SECOND, self.finished.set)
+
+    def _drain(self) -> None:
+        self.server.drain()
+        self._end_if_idle()
+
+    def _end_if_idle(self) -> None:
+        if self.server.draining and not self.held and not self.notices.queue:
+            self.finished.set()
+
+    def close(self) -> None:
+        self.discovery.close()
+        self.notices.close()
+        self.journal.close()
+
+    # ---- the start
+
+    def _read_known(self) -> None:
+        try:
+            news = self.reader.read(self.config.known)
+        except ValueError as error:
+            log.warning("the list in the configuration can't be read, starting without one: %s", error)
+            return
+        self.discovery.index = news.index
+        self._place(news)
+        self.inbox.append(io.Roster(io.ListScope.CACHED, news.entries))
+
+    def _recover(self) -> None:
+        now_ms = time.time_ns() // MS
+        for entry in list(self.journal.entries.values()):
+            if entry.ended is not None:
+                self.notices.tell(entry.ref, entry.ended, entry.wait_ms)
+            elif entry.klass not in self.class_numbers:
+                log.error("journal: message %s has the unknown class %s", entry.ref, entry.klass)
+                self._end(entry.ref, "dead", 0)
+            else:
+                self.held[entry.ref] = Held(entry.ref, entry.key, entry.body, entry.attempts)
+                self.inbox.append(self._recovered(entry, now_ms))
+        if self.journal.entries:
+            log.info("picked up %d messages and %d notices", len(self.held), len(self.notices.queue))
+
+    def _recovered(self, entry: Entry, now_ms: int) -> io.Recovered:
+        if entry.ran_at is None and entry.trying_at is not None:  # no outcome came: it may have run
+            entry.ran_at, entry.ran_zone = entry.trying_at, entry.trying_zone
+        ran_ago = None if entry.ran_at is None else max(0, now_ms - entry.ran_at) * MS
+        if entry.uncertain:  # an attempt may be missing: no window and no building is sure
+            ran_ago = 365 * 86400 * SECOND
+        zones = self.config.zone_names
+        return io.Recovered(
+            call=entry.ref,
+            klass=self.class_numbers[entry.klass],
+            dest=entry.dest,
+            key=entry.key,
+            patience=(entry.deadline - now_ms) * MS,
+            attempts=entry.attempts,
+            ran_ago=ran_ago,
+            ran_zone=zones.index(entry.ran_zone) if entry.ran_zone in zones else -1,
+        )
+
+    # ---- events in
+
+    def on_request(self, request: Request, reply: Reply) -> None:
+        """A client hands in a message. It is answered within the coming turn."""
+        if request.klass not in self.class_numbers:
+            reply.error(f"unknown class '{request.klass[:40]}'")
+            log.info("client request for an unknown class")
+            return
+        if request.dest not in self.dests:
+            reply.error(f"unknown destination {request.dest}")
+            log.info("client request for an unknown destination %d", request.dest)
+            return
+        if request.ref in self.held:
+            reply.ok()  # it is taken on already
+            return
+        if request.ref in self.newcomers:
+            reply.busy(0)
+            return
+        deadline = time.time_ns() // MS + request.patience_ms
+        self.newcomers[request.ref] = Newcomer(request, reply, deadline)
+        self._post(io.Arrived(
+            call=request.ref,
+            tenant=0,
+            klass=self.class_numbers[request.klass],
+            dest=request.dest,
+            key=request.key,
+            patience=request.patience_ms * MS,
+            storable=self.journal.has_room(len(request.body)),
+        ))
+
+    def on_news(self, news: News | None) -> None:
+        if news is None:
+            self._post(io.Roster(io.ListScope.FAILED, ()))
+            return
+        self._place(news)
+        scope = io.ListScope.WHOLE if news.whole else io.ListScope.CHANGES
+        self._post(io.Roster(scope, news.entries))
+
+    def _place(self, news: News) -> None:
+        """Where each host listens now. Connections to those that drain or went are closed."""
+        named = {entry.host for entry in news.entries}
+        gone = [host for host in self.zones if host not in named] if news.whole else []
+        for entry in news.entries:
+            if entry.availability is io.Availability.DELETED:
+                gone.append(entry.host)
+                continue
+            self.zones[entry.host] = entry.zone
+            self.dests.add(entry.dest)
+            draining = entry.availability is io.Availability.STOPPING
+            self.hosts.place(entry.host, news.addresses[entry.host], draining)
+        for host in gone:
+            self.zones.pop(host, None)
+            self.hosts.remove(host)
+
+    def _post(self, event: io.Event) -> None:
+        """One batch holds all that is ready: the turn runs when the loop has read what lies there."""
+        self.inbox.append(event)
+        if not self.turn_due:
+            self.turn_due = True
+            asyncio.get_running_loop().call_soon(self._turn)
+
+    # ---- a turn
+
+    def _turn(self) -> None:
+        self.turn_due = False
+        events, self.inbox = self.inbox, []
+        actions = self.pacer.handle(time.monotonic_ns(), events)
+        self._admit({a.call: a for a in actions if isinstance(a, io.Refuse | io.Fail)})
+        for action in actions:
+            self._carry_out(action)
+        if self.stopping:
+            self._end_if_idle()
+
+    def _admit(self, ends: dict[str, io.Refuse | io.Fail]) -> None:
+        """Answer the newcomers: what the Pacer did not end in this turn is taken on, once it is on record."""
+        newcomers, self.newcomers = self.newcomers, {}
+        for ref, newcomer in newcomers.items():
+            request, reply = newcomer.request, newcomer.reply
+            match ends.get(ref):
+                case io.Refuse(_, hold_off):
+                    reply.busy(hold_off // MS)
+                    continue
+                case io.Fail():
+                    reply.error("failed")
+                    continue
+            entry = Entry(ref, request.klass, request.dest, request.key, newcomer.deadline, request.body)
+            if not reply.wanted or not self.journal.taken(entry):
+                reply.busy(0)
+                self._post(io.Withdrawn(ref))
+                continue
+            self.held[ref] = Held(ref, request.key, request.body)
+            reply.ok()
+
+    def _carry_out(self, action: io.Action) -> None:
+        match action:
+            case io.Send():
+                self._send(action)
+            case io.Refuse(ref, hold_off):
+                self._end(ref, "bounced", hold_off // MS)
+            case io.Fail(ref):
+                self._end(ref, "dead", 0)
+            case io.Cancel(ref, attempt):
+                message = self.held.get(ref)
+                if message is not None and message.exchange is not None and message.attempts == attempt + 1:
+                    message.exchange.give_up(io.Status.CANCELLED)
+            case io.Probe():
+                self._probe(action)
+            case io.Close(host):
+                self.hosts.close_idle(host)
+            case io.Wake(after, token):
+                self._set_alarm(after, token)
+            case io.Subscribe():
+                self.discovery.subscribe()
+            case io.Log(text):
+                log.info("%s", text)
+
+    def _set_alarm(self, after: int, token: int) -> None:
+        if self.alarm is not None:
+            self.alarm.cancel()  # only the newest counts
+        at = (self.pacer.now + after) / SECOND
+        self.alarm = asyncio.get_running_loop().call_at(at, self._post, io.Alarm(token))
+
+    # ---- attempts
+
+    def _send(self, send: io.Send) -> None:
+        message = self.held.get(send.call)
+        if message is None:  # it was not taken on after all: the Pacer hears of that too
+            self._post(io.Verdict(send.call, 0, send.host, io.Status.ABANDONED, 0, True, 0, False, None))
+            return
+        started, attempt, zone = self.pacer.now, message.attempts, self.zones.get(send.host, -1)
+        zones = self.config.zone_names
+        message.attempts += 1
+        written = False
+
+        def prepare() -> net.Ask | None:
+            nonlocal written
+            now = time.monotonic_ns()
+            if now >= send.stop_at or not self.pacer.clear_to_send(now, send.call, send.host):
+                return None
+            name = zones[zone] if 0 <= zone < len(zones) else ""
+            written = self.journal.trying(send.call, name, time.time_ns() // MS)
+            return net.call(message.ref, message.key, message.body, send.stop_at) if written else None
+
+        def done(outcome: net.Outcome) -> None:
+            message.exchange = None
+            log.debug("attempt %s %d at %s: %s", send.call, attempt, send.host, outcome)
+            if written:
+                self.journal.outcome(send.call, outcome.status in MAY_HAVE_RUN)
+            if outcome.finished:
+                self._finish(message, None, 0)
+            if message.over:
+                self.held.pop(message.ref, None)
+            self._post(io.Verdict(
+                send.call, attempt, send.host, outcome.status, time.monotonic_ns() - started,
+                outcome.finished, outcome.wait, outcome.no_slot, outcome.report))
+
+        message.exchange = net.Exchange(send.host, send.stop_at, prepare, done)
+        self.hosts.begin(message.exchange)
+
+    def _probe(self, probe: io.Probe) -> None:
+        started = self.pacer.now
+
+        def prepare() -> net.Ask | None:
+            if not self.pacer.clear_to_send(time.monotonic_ns(), None, probe.host):
+                return None
+            return net.probe(self.config.load_reports)
+
+        def done(outcome: net.Outcome) -> None:
+            self._post(io.Probed(probe.host, outcome.status, time.monotonic_ns() - started, outcome.report))
+
+        self.hosts.begin(net.Exchange(probe.host, probe.stop_at, prepare, done))
+
+    # ---- ends
+
+    def _end(self, ref: str, result: str, wait_ms: int) -> None:
+        message = self.held.get(ref)
+        if message is not None:
+            self._finish(message, result, wait_ms)
+            if message.exchange is None:
+                del self.held[ref]
+        elif ref in self.journal.entries:
+            self.journal.ended(ref, result, wait_ms)
+            self.notices.tell(ref, result, wait_ms)
+
+    def _finish(self, message: Held, result: str | None, wait_ms: int) -> None:
+        if message.over:
+            return
+        message.over = True
+        self.journal.ended(message.ref, result, wait_ms)
+        if result is not None:
+            self.notices.tell(message.ref, result, wait_ms)
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -17,8 +17,8 @@
 
 from starlingwick.interface import (
     Action, Alarm, Arrived, Availability, Close, Decay, Discovery, Event, Fail, HostEntry, ListScope,
-    Log, MessageClass, Probe, Probed, Refuse, Repeat, Report, Roster, Scope, Send, Settings, Status,
-    Subscribe, Verdict, Wake, Withdrawn,
+    Log, MessageClass, Probe, Probed, Recovered, Refuse, Repeat, Report, Roster, Scope, Send, Settings,
+    Status, Stopping, Subscribe, Verdict, Wake, Withdrawn,
 )
 
 SECOND = 1_000_000_000
@@ -43,6 +43,7 @@
 HALF_LEFT = 0.5  # of a limit: no reason to hold back, nor to refuse
 SPENT = 0.1  # this little left, noisy as it is told: the next call is refused as likely as not
 REST = SECOND // 4  # first pause of our own after a refusal or a failure; it grows with the trouble
+PROBE_TIME = 3 * SECOND // 2  # for a probe's answer
 BUDGET = 0.9  # of this relay's part of what a cold destination can take: the estimate of capacity is noisy
 
 MAY_HAVE_RUN = (Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
@@ -156,6 +157,7 @@
         self.ask_at = NEVER
         self.ask_step = 2 * SECOND
         self.subscribed = False
+        self.stopping_at = NEVER  # when the process ends
         self.alarm = 0  # the newest alarm asked for; older ones need no answer
         self.alarm_at = NEVER
         self.wake_at = NEVER
@@ -175,6 +177,10 @@
                     self.on_arrived(event)
                 case Verdict():
                     self.on_verdict(event)
+                case Recovered():
+                    self.on_recovered(event)
+                case Stopping():
+                    self.stopping_at = event.at
                 case Withdrawn():
                     if event.call in self.messages:
                         self.finish(self.messages[event.call])
@@ -246,6 +252,7 @@
         """A host that is gone; its calls run on. A route goes with its last host: memory stays bounded."""
         if name in self.hosts:
             dest, host = self.hosts.pop(name)
+            host.usable = False  # for a call on its way there: see clear_to_send
             dest.hosts.remove(host)
             if not dest.hosts and len(self.routes[dest.number]) > 1:
                 self.routes[dest.number].remove(dest)
@@ -262,6 +269,9 @@
         return due <= self.now
 
     def on_arrived(self, event: Arrived) -> None:
+        if not event.storable:  # what cannot be kept is not taken on
+            self.actions.append(Refuse(event.call, 0))
+            return
         klass = self.settings.classes[event.klass]
         worth = klass.worth
         if not self.within_share(event.tenant):
@@ -277,6 +287,30 @@
         for route in self.routes.get(event.dest, ()):
             self.mark(route.arrived, SENT_SPAN)
 
+    def on_recovered(self, r: Recovered) -> None:
+        """Take up again what an earlier life held: its attempts count on, and so does what may have run."""
+        klass = self.settings.classes[r.klass]
+        m = Message(r.call, klass, r.dest, r.key if klass.in_turn else None, klass.worth, self.now,
+                    self.now + r.patience, attempts=r.attempts)
+        if r.ran_ago is not None:
+            m.ran_at, m.ran_zone = self.now - r.ran_ago, r.ran_zone
+        self.messages[r.call] = m
+        self.held += 1
+        if m.key is not None:
+            self.turns.setdefault(m.key, deque()).append(m)
+            if m.ran_at is not None:
+                self.turn_rest[m.key] = self.now + self.settings.rules.turn_gap
+        if self.is_spent(m):
+            self.end(m)
+        else:
+            self.waiting.setdefault(m.dest, {})[m.name] = m
+            heapq.heappush(self.expiry, (m.deadline - 2 * self.settings.tick, m.name))
+
+    def is_spent(self, m: Message) -> bool:
+        """Whether no further attempt is open to a message that has none out."""
+        return (m.attempts >= self.settings.limits.most_tries or not self.may_repeat(m, None)
+                or self.now >= m.deadline - 2 * self.settings.tick)
+
     def worth_at(self, m: Message, when: int) -> float:
         """What a message earns if it is delivered then."""
         late = when - m.aim_at
@@ -385,9 +419,8 @@
                 del self.turn_rest[next(iter(self.turn_rest))]
         if v.finished or m.over or v.status is Status.OK:
             self.finish(m)
-        elif (m.attempts >= self.settings.limits.most_tries or not self.may_repeat(m, None)
-                or self.now >= m.deadline - 2 * self.settings.tick):
-            self.end(m)
+        elif self.is_spent(m) or v.status is Status.MOOT and not v.no_slot:
+            self.end(m)  # moot, but not for want of a slot: no further attempt would go out either
         else:  # back into the hold, on a timer that grows with its attempts
             pause = min(REST << min(m.attempts - 1, 8), m.klass.aim)
             m.not_before = self.now + round(pause * self.random.uniform(0.5, 1.0))
@@ -575,6 +608,8 @@
         Without a message: whether the host is open for any."""
         if not host.usable or len(self.calls) >= self.settings.slots:
             return NEVER
+        if self.stopping_at < NEVER and self.now + self.late_after(dest) > self.stopping_at:
+            return NEVER  # cut off by the end of the process it might have run: the next life sends it
         when = max(dest.wait_until, dest.rest_until)
         if (dest.bad > SUSPECT or dest.refused_from is not None) and (dest.calls or host.probing):
             return NEVER  # in trouble or refused since the last success: one at a time
@@ -600,6 +635,21 @@
                 return NEVER  # let a repeatable message or a probe try first
         return when
 
+    def clear_to_send(self, now: int, call: str | None, name: str) -> bool:
+        """The last look, just before a call's first byte (a probe's, without ``call``): a connection may
+        have taken long to come up, and what was learned since binds it (rules 2, 3 and 6)."""
+        self.now = now
+        m = self.messages.get(call) if call is not None else None
+        if m is not None and m.call is not None:
+            dest, host = m.call.dest, m.call.host
+            if m.over or now >= m.deadline or not self.may_repeat(m, host):
+                return False
+        elif call is None and name in self.hosts:
+            dest, host = self.hosts[name]
+        else:
+            return False
+        return host.usable and now >= dest.wait_until
+
     def urgency(self, m: Message) -> float:
         """What is lost if the message waits another aim, for each second of slot time it takes."""
         means = [r.mean for r in self.routes[m.dest] if r.mean]
@@ -706,7 +756,7 @@
                             and self.gate(dest, host, None) <= self.now):
                         host.probing = True
                         self.count_call(dest, host)
-                        self.actions.append(Probe(host.name))
+                        self.actions.append(Probe(host.name, self.now + PROBE_TIME))
 
     def log(self, text: str) -> None:
         self.actions.append(Log(text))
--- a/starlingwick/interface.py
+++ b/starlingwick/interface.py
@@ -50,6 +50,7 @@
     RESET = 60
     CANCELLED = 70
     MOOT = 80
+    ABANDONED = 90  # held back at the last instant, before its first byte: it never ran
 
 
 class Availability(Enum):
@@ -215,6 +216,32 @@
     dest: int
     key: str | None
     patience: int
+    storable: bool = True  # whether the relay's journal has room for it
+
+
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """A message that an earlier life of this relay took on and did not end.
+
+    ``ran_ago`` is how long ago its first attempt that may have run was sent, None if none may have;
+    ``ran_zone`` is that attempt's zone.
+    """
+
+    call: str
+    klass: int
+    dest: int
+    key: str | None
+    patience: int  # negative: its time was up while the relay was down
+    attempts: int
+    ran_ago: int | None
+    ran_zone: int
+
+
+@dataclass(frozen=True, slots=True)
+class Stopping:
+    """The process will end then: what is out by that time is cut off."""
+
+    at: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -256,7 +283,7 @@
     token: int
 
 
-Event = Roster | Arrived | Withdrawn | Verdict | Probed | Alarm
+Event = Roster | Arrived | Recovered | Stopping | Withdrawn | Verdict | Probed | Alarm
 
 
 @dataclass(frozen=True, slots=True)
@@ -296,6 +323,7 @@
     """Check a host."""
 
     host: str
+    stop_at: int
 
 
 @dataclass(frozen=True, slots=True)
