Idle connections go with a time-out; a draining relay answers what lies unread

Causes: Exchange.give_up left a host's other idle connections in the pool. A machine that vanished resets those when it is back, which kills an unsafe message. And close_between_requests looked only at what the loop had read: a request that lay on the socket unread was cut off. Both tests fail without the change (checked).

Also: the Pacer hears that a watch is taken up where nothing changed, so it does not ask again; and the decisions added to the module have their own tests.

--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -222,10 +223,16 @@
         asyncio.get_running_loop().call_later(LINGER, transport.abort)
 
     def close_between_requests(self) -> None:
-        """Close unless an answer is owed or half a request has come: closing then would lose a message."""
-        if not self.closing and not self.replies and not self.partial and self.transport is not None:
+        """Close unless an answer is owed or a request has come, in part or unread: closing then would lose
+        a message. What is unread is answered first, and the close comes right behind the answer."""
+        transport = self.transport
+        if self.closing or self.replies or self.partial or transport is None or transport.is_closing():
+            return
+        poll = select.poll()
+        poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        if not poll.poll(0):
             self.closing = True
-            self.transport.close()
+            transport.close()
 
 
 class Server:
--- a/garnetrelay/discovery.py
+++ b/garnetrelay/discovery.py
@@ -126,6 +126,7 @@
                 if event.status_code != 200:
                     raise ValueError(f"discovery answered {event.status_code}")
                 patience = SILENCE
+                self.on_news(News(self.index, False, (), {}))  # taken up, also where nothing has changed
             elif isinstance(event, h11.Data):
                 *lines, pending = (pending + bytes(event.data)).split(b"\n")
                 for line in lines:
--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -86,6 +86,10 @@
         outcome = connection.outcome or Outcome(
             status if connection.written_in_full() else io.Status.CONNECT_FAILED)
         connection.abort()
+        if outcome.status is io.Status.TIMEOUT:
+            # A machine that vanished keeps its connections open and silent, and resets them once it is back:
+            # an unsafe message written to one of them would die of that.
+            connection.pool.close_idle(self.host)
         self.end(outcome)
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -232,6 +232,34 @@
     assert second.headers["x-request-id"] == "m2" and second.connection != call.connection
 
 
+async def test_idle_connections_go_with_a_call_that_timed_out(field: Field) -> None:
+    """A vanished machine resets them when it is back, and an unsafe message on one would die of it."""
+    client = await field.start()
+    await field.warm(client)
+    for ref in ("m1", "m2"):
+        await client.enqueue(ref, "unsafe", d=400 if ref == "m2" else 8000)
+    first, second = await field.host.next_call(), await field.host.next_call()
+    first.answer(200)
+    net = field.relays[0].hosts
+    await until(lambda: any(net.idle.values()))
+    assert await field.platform.next_notice() == {"ref": second.headers["x-request-id"], "result": "dead"}
+    assert not net.open
+
+
+async def test_request_that_lies_unread_is_answered_before_a_draining_relay_closes(field: Field) -> None:
+    client = await field.start()
+    assert await client.ask("PING") == b"PONG"
+    server = field.relays[0].server
+    (connection,) = server.connections
+    assert connection.transport is not None
+    connection.transport.pause_reading()  # the loop has not come to it yet
+    client.write("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", "x")
+    await client.writer.drain()
+    server.drain()
+    connection.transport.resume_reading()
+    assert await client.read() == b"OK" and await client.read() is None
+
+
 async def test_call_overtaken_while_its_connection_came_up_is_abandoned(field: Field) -> None:
     """Connecting may take a second; a drain or a wait learned meanwhile holds for the call, and nothing of
     it goes out."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from typing import Any
+
 from starlingwick import interface as io
-from tests.helpers import KEYED, MS, SAFE, TURNS, UNSAFE, Relay, S, entry
+from tests.helpers import KEYED, MS, SAFE, TURNS, UNSAFE, Relay, S, entry, klass
 
 
 def test_held_message_ends_once_before_its_time_is_up() -> None:
@@ -53,8 +56,6 @@
 
 
 def test_keyed_message_stays_in_its_zone_once_it_may_have_run() -> None:
-    from tests.helpers import klass
-
     relay = Relay(entry("a", zone=0), entry("b", zone=1), classes=(klass(io.Repeat.KEYED, io.Scope.ZONE),))
     relay.turn(relay.message())
     first = relay.sends()[0].host
@@ -160,3 +161,83 @@
     wake = relay.of(io.Wake)[-1]
     relay.turn(io.Alarm(wake.token), after=wake.after - 1)
     assert [a.after for a in relay.of(io.Wake)] == [1]
+
+
+def recovered(call: str, klass: int, **changes: Any) -> io.Recovered:
+    values: dict[str, Any] = dict(dest=1, key=None, patience=20 * S, attempts=0, ran_ago=None, ran_zone=0)
+    return io.Recovered(call, klass, **(values | changes))
+
+
+def test_recovered_messages_keep_what_an_earlier_life_did() -> None:
+    cases = (
+        (recovered("m", UNSAFE), io.Send),
+        (recovered("m", UNSAFE, attempts=1, ran_ago=S), io.Fail),
+        (recovered("m", SAFE, attempts=5, ran_ago=S), io.Send),
+        (recovered("m", SAFE, attempts=6), io.Refuse),
+        (recovered("m", SAFE, patience=-S), io.Refuse),
+        (recovered("m", UNSAFE, patience=-S, attempts=1, ran_ago=S), io.Fail),
+        (recovered("m", KEYED, attempts=1, ran_ago=S), io.Send),
+        (recovered("m", KEYED, attempts=1, ran_ago=11 * S), io.Refuse),
+    )
+    for event, kind in cases:
+        relay = Relay(entry("a"))
+        relay.turn(event)
+        assert [type(a) for a in relay.actions if not isinstance(a, io.Wake)] == [kind], event
+
+
+def test_recovered_keyed_message_stays_in_its_zone() -> None:
+    classes = (klass(io.Repeat.KEYED, io.Scope.ZONE),)
+    for zone, host in ((0, "a"), (1, "b")):
+        relay = Relay(entry("a", zone=0), entry("b", zone=1), classes=classes)
+        relay.turn(recovered("m", 0, attempts=1, ran_ago=S, ran_zone=zone))
+        assert [s.host for s in relay.sends()] == [host]
+
+
+def test_message_without_room_in_the_journal_is_refused_and_forgotten() -> None:
+    relay = Relay(entry("a"))
+    relay.turn(replace(relay.message(), storable=False))
+    assert [a.call for a in relay.of(io.Refuse)] == ["m1"] and relay.sends() == []
+    assert relay.pacer.messages == {} and relay.pacer.held == 0
+
+
+def test_nothing_goes_out_that_the_end_of_the_process_might_cut_off() -> None:
+    relay = Relay(entry("a"))
+    relay.serve(3)  # a mean of 100 ms: 400 ms are enough for most calls
+    relay.turn(io.Stopping(relay.now + S))
+    relay.turn(relay.message(UNSAFE), after=500 * MS)
+    assert len(relay.sends()) == 1
+    relay.turn(relay.message(UNSAFE), after=200 * MS)
+    assert relay.sends() == [] and relay.of(io.Refuse) == [] and relay.of(io.Fail) == []
+
+
+def test_last_look_holds_back_what_was_overtaken() -> None:
+    relay = Relay(entry("a"), entry("b"))
+    relay.turn(relay.message())
+    host = relay.sends()[0].host
+    assert relay.pacer.clear_to_send(relay.now, "m1", host)
+    assert relay.pacer.clear_to_send(relay.now, None, host)
+    assert not relay.pacer.clear_to_send(relay.now + 20 * S, "m1", host)
+    relay.turn(io.Roster(io.ListScope.CHANGES, (entry(host, state=io.Availability.STOPPING),)))
+    assert not relay.pacer.clear_to_send(relay.now, "m1", host)
+    assert not relay.pacer.clear_to_send(relay.now, None, host)
+    relay.turn(io.Roster(io.ListScope.CHANGES, (entry(host, state=io.Availability.DELETED),)))
+    assert not relay.pacer.clear_to_send(relay.now, "m1", host)
+
+
+def test_last_look_heeds_a_wait_told_to_another_call() -> None:
+    relay = Relay(entry("a"))
+    relay.serve(2)
+    relay.turn(relay.message(), relay.message())
+    assert len(relay.sends()) == 2
+    first, second = (s.call for s in relay.sends())
+    relay.turn(relay.verdict(first, io.Status.FULL, wait=S))
+    assert not relay.pacer.clear_to_send(relay.now, second, "a")
+    assert relay.pacer.clear_to_send(relay.now + S, second, "a")
+
+
+def test_abandoned_attempt_never_ran_and_is_made_up_for() -> None:
+    relay = Relay(entry("a"))
+    relay.turn(relay.message(UNSAFE))
+    relay.turn(relay.verdict("m1", io.Status.ABANDONED), after=50 * MS)
+    relay.turn(after=S)
+    assert [s.call for s in relay.sends()] == ["m1"]
