A backlog picked up after a restart is tried by one call first; refusals tell when to come again

Now the first call decides.

Also: where clients are given a hold-off, a refusal carries one (the turn that the shed message would have had, the time a destination opens); here they are not, and nothing changes. A keyed message without its key is an error: no host could drop a repeat.

--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -168,6 +168,12 @@
             reply.error(f"unknown destination {request.dest}")
             log.info("client request for an unknown destination %d", request.dest)
             return
+        klass = self.settings.classes[self.class_numbers[request.klass]]
+        if klass.repeat is io.Repeat.KEYED and request.key is None:
+            # Without its key no host could drop a repeat.
+            reply.error("'k' is missing")
+            log.info("client request of a keyed class without a key")
+            return
         if request.ref in self.held:
             reply.ok()  # it is taken on already
             return
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -300,6 +300,10 @@
             self.turns.setdefault(m.key, deque()).append(m)
             if m.ran_at is not None:
                 self.turn_rest[m.key] = self.now + self.settings.rules.turn_gap
+        # What was held there says that the destination may have been in trouble, which this life did not see.
+        # Until a first success its backlog goes out one call at a time (rule 4).
+        for route in self.routes.get(m.dest, ()):
+            route.refused_from = self.now
         if self.is_spent(m):
             self.end(m)
         else:
@@ -340,11 +344,14 @@
         return host is None or m.klass.key_scope is Scope.ALL or (
             m.klass.key_scope is Scope.ZONE and host.zone == m.ran_zone)
 
-    def end(self, m: Message) -> None:
-        """The one place where this relay ends a message: refused where that is legal, failed where not."""
+    def end(self, m: Message, opens: int = 0) -> None:
+        """The one place where this relay ends a message: refused where that is legal, failed where not. At
+        once, and never held back to keep the client away: it is told when to come again, if that is known."""
         if m.over:
             return
-        self.actions.append(Refuse(m.name, 0) if self.may_refuse(m) else Fail(m.name))
+        limits = self.settings.limits
+        hold_off = max(0, min(opens - self.now, limits.max_retry_after)) if limits.retry_after else 0
+        self.actions.append(Refuse(m.name, hold_off) if self.may_refuse(m) else Fail(m.name))
         self.finish(m)
 
     def finish(self, m: Message) -> None:
@@ -387,10 +394,10 @@
         for number, waiting in self.waiting.items():
             pace = sum(self.rate(r.sent, SENT_SPAN) for r in self.routes.get(number, ()))
             turn = self.now + round(len(waiting) * SECOND / max(pace, SECOND / CUT_SPAN))
-            ranked += [(self.worth_at(m, turn), self.worth_at(m, self.now), -m.arrived, m.name)
+            ranked += [(self.worth_at(m, turn), self.worth_at(m, self.now), -m.arrived, m.name, turn)
                        for m in waiting.values() if self.may_refuse(m)]
-        for *_, name in sorted(ranked)[:self.held + room - self.settings.limits.most_held]:
-            self.end(self.messages[name])
+        for *_, name, turn in sorted(ranked)[:self.held + room - self.settings.limits.most_held]:
+            self.end(self.messages[name], turn)
 
     # ---- outcomes
 
@@ -660,7 +667,7 @@
     def plan(self) -> None:
         """One pass over all that could go now, most urgent first."""
         ready: list[Message] = []
-        hopeless: list[Message] = []
+        hopeless: list[tuple[Message, int]] = []
         for number, waiting in self.waiting.items():
             opens = NEVER
             for dest in self.routes.get(number, ()):
@@ -671,9 +678,10 @@
                 ready += waiting.values()
             elif opens < NEVER:
                 self.wake_at = min(self.wake_at, opens)
-                hopeless += [m for m in waiting.values() if opens >= m.deadline and self.may_refuse(m)]
-        for m in hopeless:  # handed back at once: the client may come to a relay that may try sooner
-            self.end(m)
+                hopeless += [(m, opens) for m in waiting.values()
+                             if opens >= m.deadline and self.may_refuse(m)]
+        for m, opens in hopeless:  # handed back at once: the client may come to a relay that may try sooner
+            self.end(m, opens)
         ready.sort(key=lambda m: (-self.urgency(m), m.deadline, m.arrived))
         for m in ready:
             if len(self.calls) >= self.settings.slots:
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -255,3 +255,12 @@
         return relay.pacer.routes[1][0].rest
 
     assert first_rest(0.0) > 2 * first_rest(0.05)
+
+
+def test_refused_client_is_told_when_to_come_again_where_clients_are_told() -> None:
+    for told in (True, False):
+        relay = Relay(entry("a"), limits={"most_held": 20, "retry_after": told})
+        relay.turn(*[relay.message() for _ in range(40)])
+        waits = [refusal.hold_off for refusal in relay.of(io.Refuse)]
+        assert len(waits) >= 20
+        assert all((0 < wait <= 2 * S) if told else wait == 0 for wait in waits)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -63,13 +63,14 @@
     ("ENQUEUE", "0", "m", "c=safe,d=-5,dest=3", "x"),
     ("ENQUEUE", "0", "m", "c=safe,dest=3", "x"),
     ("ENQUEUE", "0", "m", "nonsense", "x"),
+    ("ENQUEUE", "0", "m", "c=keyed,d=8000,dest=3", "x"),
     ("ENQUEUE", "0", "", "c=safe,d=8000,dest=3", "x"),
     ("ENQUEUE", "0", "m\r\nX-Evil: 1", "c=safe,d=8000,dest=3", "x"),
     ("ENQUEUE", "0", b"\xff", "c=safe,d=8000,dest=3", "x"),
     ("ENQUEUE", "0", "m", "c=safe,d=8000,dest=3", bytes(65 * 1024)),
     ("SHUTDOWN",),
-], ids=["short", "class", "dest", "d", "negative d", "no d", "list", "no id", "header", "bytes", "body",
-        "unknown"])
+], ids=["short", "class", "dest", "d", "negative d", "no d", "list", "no key", "no id", "header", "bytes",
+        "body", "unknown"])
 async def test_request_that_makes_no_sense_gets_an_error_and_the_connection_stays(
         field: Field, words: tuple[str | bytes, ...]) -> None:
     client = await field.start()
