--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -300,10 +300,6 @@
             self.turns.setdefault(m.key, deque()).append(m)
             if m.ran_at is not None:
                 self.turn_rest[m.key] = self.now + self.settings.rules.turn_gap
-        # What was held there says that the destination may have been in trouble, which this life did not see.
-        # Until a first success its backlog goes out one call at a time (rule 4).
-        for route in self.routes.get(m.dest, ()):
-            route.refused_from = self.now
         if self.is_spent(m):
             self.end(m)
         else:
