--- a/garnetrelay/__main__.py
+++ b/garnetrelay/__main__.py
@@ -9,20 +9,31 @@
 import signal
 import sys
 
-from garnetrelay.config import Config, ConfigError, load
+from garnetrelay.config import Config, ConfigError, load, reload
 from garnetrelay.relay import Relay
 
 log = logging.getLogger("garnetrelay")
 
 
-async def serve(config: Config) -> None:
-    """Run until a signal has ended the relay."""
+def reconfigure(relay: Relay) -> None:
+    """Take over the configuration as it is now; one that can't be used changes nothing."""
+    try:
+        relay.reconfigure(reload(os.environ))
+    except ConfigError as error:
+        log.error("the old configuration stays: %s", error)
+
+
+async def serve(config: Config, early: list[int]) -> None:
+    """Run until a signal has ended the relay. ``early`` holds the SIGHUPs that came before."""
     relay = Relay(config)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, relay.stop)
+    loop.add_signal_handler(signal.SIGHUP, reconfigure, relay)
     try:
         host, port = await relay.start()
+        if early:
+            reconfigure(relay)
         log.info("%s serves on %s port %d", config.name, host, port)
         await relay.finished.wait()
     finally:
@@ -31,6 +42,8 @@
 
 def main() -> int:
     """The exit status."""
+    early: list[int] = []  # SIGHUP ends a process that has not said what it does with it: say so first
+    signal.signal(signal.SIGHUP, lambda number, frame: early.append(number))
     level = os.environ.get("RELAY_LOG_LEVEL", "INFO").upper()
     logging.basicConfig(
         level=level if level in logging.getLevelNamesMapping() else "INFO",
@@ -40,7 +53,7 @@
         # A length in a client's command may ask for any amount of memory: refuse the absurd at once.
         most = config.memory_bytes + (512 << 20)
         resource.setrlimit(resource.RLIMIT_AS, (most, resource.getrlimit(resource.RLIMIT_AS)[1]))
-        asyncio.run(serve(config))
+        asyncio.run(serve(config, early))
     except ConfigError as error:
         print(f"garnetrelay: {error}", file=sys.stderr)
         return 2
--- a/garnetrelay/config.py
+++ b/garnetrelay/config.py
@@ -77,6 +77,12 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def reload(environment: Mapping[str, str]) -> Config:
+    """The configuration as its file has it now. Addresses that the environment told at the start are those of
+    the start: the file was replaced since, so what it says holds."""
+    return load({name: value for name, value in environment.items() if name != "RELAY_DISCOVERY"})
+
+
 def _config(raw: Any, environment: Mapping[str, str], state: Path) -> Config:
     if not isinstance(raw, dict):
         raise ValueError("not an object")
--- a/garnetrelay/discovery.py
+++ b/garnetrelay/discovery.py
@@ -91,11 +91,22 @@
         if self.task is not None:
             self.task.cancel()
 
+    def move(self, address: Address) -> None:
+        """Watch another address from now on. It may count its versions in a way of its own: asked for what
+        came after one of the old address's, it might hold back the list. So it is asked for all."""
+        self.address, self.index = address, 0
+        old, self.task = self.task, None
+        if old is not None:
+            old.cancel()
+        self.subscribe()
+
     def _ended(self, task: asyncio.Task[None]) -> None:
+        error = None if task.cancelled() else task.exception()
+        if self.task is not task:
+            return  # a watch at an address that is left: its end says nothing of the present one
         self.task = None
         if task.cancelled():
             return
-        error = task.exception()
         if isinstance(error, OSError | TimeoutError | h11.RemoteProtocolError | ValueError):
             log.warning("watch ended: %s", str(error) or type(error).__name__)
         elif error is not None:
@@ -145,4 +156,6 @@
             log.warning("a line of the list can't be read, the last list stays: %s", error)
             return
         self.index = news.index
+        if news.whole:
+            log.info("whole list, version %d: %d hosts", news.index, len(news.entries))
         self.on_news(news)
--- a/garnetrelay/notices.py
+++ b/garnetrelay/notices.py
@@ -38,6 +38,13 @@
         if self.task is not None:
             self.task.cancel()
 
+    def move(self, address: Address) -> None:
+        """Tell another address from now on, also what the old one has not acknowledged."""
+        self.address = address
+        self.close()
+        self._drop_link()
+        self.start()
+
     def tell(self, ref: str, result: str, wait_ms: int) -> None:
         """Queue a notice; it stays until it is acknowledged."""
         notice: dict[str, str | int] = {"ref": ref, "result": result}
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 import time
 from dataclasses import dataclass
@@ -84,6 +85,17 @@
             self.discovery.subscribe()  # the Pacer asks only where changes do not come by themselves
         return await self.server.start(self.config.listen.host, self.config.listen.port)
 
+    def reconfigure(self, config: Config) -> None:
+        """SIGHUP: go on with what can change in a running relay, the address of discovery. The list that we
+        have stays in force until the new address brings its own."""
+        if config.discovery == self.config.discovery:
+            log.info("configuration read again: discovery stays at %s", config.discovery)
+            return
+        log.info("discovery moves from %s to %s", self.config.discovery, config.discovery)
+        self.config = dataclasses.replace(self.config, discovery=config.discovery)
+        self.discovery.move(config.discovery)
+        self.notices.move(config.discovery)
+
     def stop(self) -> None:
         """SIGTERM: serve on while new connections come, then end calls, then ourselves."""
         if self.stopping:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -15,7 +15,7 @@
 import pytest_asyncio
 
 from garnetrelay.journal import Entry, Journal
-from tests.sockets import PATIENCE, Client, Field
+from tests.sockets import PATIENCE, Client, Field, HttpServer, Platform, endpoint, listing, until
 
 ROOT = Path(__file__).parent.parent
 
@@ -30,16 +30,27 @@
             self.port = free.getsockname()[1]
         self.child: asyncio.subprocess.Process | None = None
 
-    async def start(self) -> Client:
+    async def start(self, more: dict[str, str] | None = None) -> Client:
         self.child = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "garnetrelay", cwd=ROOT,
-            env={**os.environ, **self.field.environment(self.port)}, stderr=asyncio.subprocess.PIPE)
-        assert self.child.stderr is not None
-        async with asyncio.timeout(PATIENCE):
-            while b"serves on" not in (line := await self.child.stderr.readline()):
-                assert line, "the relay did not start"
+            env={**os.environ, **self.field.environment(self.port), **(more or {})},
+            stderr=asyncio.subprocess.PIPE)
+        await self.says(b"serves on")
         return await Client.connect(self.port)
 
+    async def says(self, text: bytes) -> None:
+        """Read the log up to a line."""
+        assert self.child is not None and self.child.stderr is not None
+        async with asyncio.timeout(PATIENCE):
+            while text not in (line := await self.child.stderr.readline()):
+                assert line, "the relay ended"
+
+    async def send(self, number: signal.Signals, text: bytes) -> None:
+        """Send a signal, and wait for what the log says of it."""
+        assert self.child is not None
+        self.child.send_signal(number)
+        await self.says(text)
+
     async def end(self, number: signal.Signals) -> int:
         assert self.child is not None
         if self.child.returncode is None:
@@ -123,6 +134,44 @@
     assert Journal(field.state, 3_000_000).entries == {}
 
 
+async def test_sighup_moves_discovery_and_notices_at_once(field: Field, process: Process) -> None:
+    """The old address stays up and the environment named it at the start: the file holds all the same. What
+    the old address did not acknowledge goes to the new one, whose list counts from a lower version."""
+    field.platform.refusals = 1_000_000
+    client = await process.start({"RELAY_DISCOVERY": field.platform.address})
+    await field.platform.next_watch()
+    assert await client.enqueue("m1", "unsafe") == b"OK"
+    (await field.host.next_call()).answer(500)
+    old, field.platform, host = field.platform, Platform(), HttpServer()
+    await field.platform.start()
+    await host.start()
+    try:
+        await until(lambda: old.refusals < 1_000_000)
+        field.environment(process.port)
+        await process.send(signal.SIGHUP, b"discovery moves")
+        watch = await field.platform.next_watch()
+        assert watch.call.line.split()[1].endswith("since=0")
+        assert await field.platform.next_notice() == {"ref": "m1", "result": "dead"}
+        watch.line(listing(7, endpoint(host, "s-2"), snapshot=True))
+        await process.says(b"whole list, version 7")
+        assert await client.enqueue("m2") == b"OK"
+        (await host.next_call()).answer(200)
+        # A file that can't be used is one line, and again and again changes nothing.
+        (field.folder / "config.json").write_text('{"discovery":')
+        for _ in range(2):
+            await process.send(signal.SIGHUP, b"the old configuration stays")
+        assert await client.ask("PING") == b"PONG"
+        field.platform, new = old, field.platform
+        field.environment(process.port)
+        await process.send(signal.SIGHUP, b"discovery moves")  # and back
+        await old.next_watch()
+        await new.stop()
+        assert await client.ask("PING") == b"PONG"
+    finally:
+        await host.stop()
+        await old.stop()
+
+
 @pytest.mark.parametrize(("text", "says"), [
     ("{", "not JSON"), ("[]", "not an object"), ('{"settings":{}}', "is missing"),
 ])
