--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -16,7 +16,13 @@
 
 MOST_BODY = 64 * 1024
 MOST_COMMAND = MOST_BODY + 16 * 1024  # a command with all its framing
-LINGER = 1.0  # seconds in which a client that is shut out may still read why
+MOST_OPEN = 64  # commands of one connection without an answer: usual clients have one
+COMMAND_TIME = 2.0  # seconds for a connection's first command, or for any to come whole once it has begun
+IDLE_TIME = 2.0  # seconds without an open request after which a connection may make room for another
+LINGER = 1.0  # seconds without a byte in which a client that is shut out may still read why
+LONGEST_LINGER = 5.0  # for one that goes on sending what nobody reads
+ACCEPTED_AT_ONCE = 16  # connections taken up before the loop looks at them: each is a descriptor already
+COMPLAINTS = 10  # log lines a second about what clients send
 SLICE = 16 * 1024  # bytes parsed at a time: what one command leaves unread stays small
 
 
@@ -124,22 +130,50 @@
     def __init__(self, server: Server) -> None:
         self.server = server
         self.reader = hiredis.Reader(protocolError=Rejected, replyError=Rejected)
-        self.partial = 0  # bytes of a command that has not come whole
+        self.raw = bytearray()  # of a command that has not come whole
         self.replies: deque[Reply] = deque()
         self.lost = False
         self.closing = False
+        self.heard_at = 0.0  # when the last byte came, or the last request was answered
+        self.timer: asyncio.TimerHandle | None = None
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        if len(self.server.connections) >= self.server.most:
-            self.fail("too many connections")
+        self.heard_at = self.server.now()
+        admitted = self.server.admit()
         self.server.connections.add(self)
+        if admitted is None:
+            transport.abort()
+        elif not admitted:
+            # Not an error: the request that is on its way has failed for good behind one.
+            self._shut(lambda reply: reply.busy(0), "too many connections")
+        else:
+            self.server.idle[self] = None
+            self._expect_command()
 
     def connection_lost(self, error: Exception | None) -> None:
         self.lost = True
-        self.server.connections.discard(self)
+        self._stop_timer()
+        self.server.forget(self)
+
+    def _expect_command(self) -> None:
+        """A connection that says nothing, half of a command, or a byte now and then, is not kept: the time
+        runs from its beginning."""
+        self.timer = asyncio.get_running_loop().call_later(COMMAND_TIME, self._overdue)
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def _overdue(self) -> None:
+        self.timer = None
+        if self.replies:  # it reads its answers so slowly that we do not read it: a request is open
+            self._expect_command()
+        else:
+            self.fail("no whole command in time")
 
     # A client that reads nothing must not fill our memory with answers: stop reading its commands.
     def pause_writing(self) -> None:
@@ -151,6 +185,7 @@
             self.transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
+        self.heard_at = self.server.now()
         for start in range(0, len(data), SLICE):
             if self.closing:
                 return  # shut out: what it still sends is read and thrown away
@@ -159,36 +194,51 @@
             self.close_between_requests()
 
     def _take(self, piece: bytes) -> None:
-        if not self.partial and (piece[:1] != b"*" or len(piece) > 2 and piece[2:3] not in b"\r0123456789"):
+        if not self.raw and (piece[:1] != b"*" or len(piece) > 2 and piece[2:3] not in b"\r0123456789"):
             self.fail("a command is an array of bulk strings")
             return
-        self.partial += len(piece)
+        self.raw += piece
         try:
             self.reader.feed(piece)
             while (words := self.reader.gets()) is not False:
-                self.partial = len(piece) if self.reader.has_data() else 0
                 self._command(words)
+                if self.closing:
+                    return
         except (Rejected, hiredis.HiredisError, MemoryError) as error:
             self.fail(f"Protocol error: {error}")  # framing is lost: nothing behind it can be read
             return
-        if self.partial > MOST_COMMAND:
+        if len(self.raw) > MOST_COMMAND:
             self.fail("command too long")
+        elif self.raw and self.timer is None:
+            self._expect_command()
 
     def _command(self, words: Any) -> None:
         if not isinstance(words, list) or not words or not all(isinstance(word, bytes) for word in words):
             raise Rejected("a command is an array of bulk strings")
+        # The parser takes any two bytes for a line's end. Behind a wrong length the message would be taken on
+        # with half of its body, so what came must be just what these words are written as.
+        written = hiredis.pack_command(tuple(words))
+        if not self.raw.startswith(written):
+            raise Rejected("a length is wrong")
+        del self.raw[:len(written)]
+        self._stop_timer()
+        self.server.idle.pop(self, None)
         reply = Reply(self)
         self.replies.append(reply)
         name = words[0].upper()
         try:
             if name == b"ENQUEUE":
-                self.server.handler(parse_enqueue(words), reply)
+                request = parse_enqueue(words)
+                if len(self.replies) > MOST_OPEN:
+                    reply.busy(0)
+                else:
+                    self.server.handler(request, reply)
             elif name == b"PING" and len(words) <= 2:
                 reply.pong(words[1] if len(words) == 2 else None)
             else:
                 raise Rejected(f"unknown command '{words[0][:40].decode('ascii', 'replace')}'")
         except Rejected as error:
-            log.info("client request not understood: %s", error)
+            self.server.complain(f"client request not understood: {error}")
             reply.error(str(error))
 
     def send_ready(self) -> None:
@@ -198,18 +248,28 @@
             ready.append(self.replies.popleft().data or b"")
         if ready and self.transport is not None and not self.lost:
             self.transport.write(b"".join(ready))
+        if not self.replies and not self.closing and not self.lost:
+            self.heard_at = self.server.now()
+            self.server.idle.pop(self, None)  # to the end: it has been idle for the shortest time
+            self.server.idle[self] = None
         if self.server.draining and not self.closing:
             self.close_between_requests()
 
     def fail(self, text: str) -> None:
         """An error, and a close: for what can't be read any further."""
+        self._shut(lambda reply: reply.error(text), text)
+
+    def _shut(self, answer: Callable[[Reply], None], why: str) -> None:
         if not self.closing:
-            log.info("client connection closed: %s", text)
+            self.server.complain(f"client connection closed: {why}")
             self.closing = True
-            self.partial = 0
+            self.raw.clear()
+            self._stop_timer()
+            self.server.idle.pop(self, None)
+            self.server.lingering[self] = None
             reply = Reply(self)
             self.replies.append(reply)
-            reply.error(text)
+            answer(reply)
             self._linger()
 
     def _linger(self) -> None:
@@ -220,35 +280,61 @@
             return
         if transport.can_write_eof():
             transport.write_eof()
-        asyncio.get_running_loop().call_later(LINGER, transport.abort)
+        self.timer = asyncio.get_running_loop().call_later(LINGER, self._lingered, self.server.now())
 
-    def close_between_requests(self) -> None:
-        """Close unless an answer is owed or a request has come, in part or unread: closing then would lose
-        a message. What is unread is answered first, and the close comes right behind the answer."""
+    def _lingered(self, since: float) -> None:
+        """One that is still sending at full speed reads the error only once it has sent all."""
+        self.timer = None
+        now = self.server.now()
+        if now < min(self.heard_at + LINGER, since + LONGEST_LINGER):
+            self.timer = asyncio.get_running_loop().call_later(LINGER, self._lingered, since)
+        elif self.transport is not None:
+            self.transport.abort()
+
+    @property
+    def between_requests(self) -> bool:
+        """No answer is owed, and no request has come, in part or unread: a close loses nothing."""
         transport = self.transport
-        if self.closing or self.replies or self.partial or transport is None or transport.is_closing():
-            return
+        if self.closing or self.replies or self.raw or transport is None or transport.is_closing():
+            return False
         poll = select.poll()
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-        if not poll.poll(0):
+        return not poll.poll(0)
+
+    def close_between_requests(self) -> None:
+        """Close unless a message would be lost by it. What is unread is answered first, and a draining
+        relay's close comes right behind the answer."""
+        if self.between_requests and self.transport is not None:
             self.closing = True
-            transport.close()
+            self._stop_timer()
+            self.server.idle.pop(self, None)
+            self.transport.close()
 
 
 class Server:
-    """Listens for clients and bounds their connections."""
+    """Listens for clients and bounds their connections: ``room`` says how many more there may be now, and
+    ``more_room`` frees a descriptor elsewhere, where one can be had."""
 
-    def __init__(self, handler: Handler, most: int) -> None:
+    def __init__(self, handler: Handler, room: Callable[[], int], more_room: Callable[[], bool]) -> None:
         self.handler = handler
-        self.most = most
+        self.room = room
+        self.more_room = more_room
         self.connections: set[Connection] = set()
+        self.idle: dict[Connection, None] = {}  # without an open request, longest first
+        self.lingering: dict[Connection, None] = {}  # told that they are shut out, longest first
         self.draining = False
+        self.now: Callable[[], float] = asyncio.get_running_loop().time
+        self._complaints: deque[float] = deque(maxlen=COMPLAINTS)
+        self._unsaid = 0
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> tuple[str, int]:
         """Listen; the address that came of it."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: Connection(self), host, port, backlog=512)
+        self._server = await loop.create_server(
+            lambda: Connection(self), host, port, backlog=ACCEPTED_AT_ONCE)
+        with self._server.sockets[0].dup() as listening:
+            listening.listen(512)  # more may wait than are taken up at once
         name = self._server.sockets[0].getsockname()
         return str(name[0]), int(name[1])
 
@@ -259,3 +345,43 @@
             self._server.close()
         for connection in list(self.connections):
             connection.close_between_requests()
+
+    def admit(self) -> bool | None:
+        """Whether there is room for one more connection. None: not even to tell it that there is none."""
+        if self.room() > 0 or self.close_longest_idle() or self.more_room():
+            return True
+        return False if self.room() > -ACCEPTED_AT_ONCE else None
+
+    def close_longest_idle(self) -> bool:
+        """Make room: by one that is shut out and has been told, or by one that has had no request open for
+        long. Its client opens another when it needs one."""
+        for connection in self.lingering:
+            if connection.transport is not None and self.now() >= connection.heard_at + LINGER / 4:
+                connection.transport.abort()
+                self.forget(connection)
+                return True
+        for connection in self.idle:
+            if self.now() < connection.heard_at + IDLE_TIME:
+                return False
+            if connection.between_requests:
+                connection.close_between_requests()
+                self.connections.discard(connection)
+                return True
+        return False
+
+    def forget(self, connection: Connection) -> None:
+        self.connections.discard(connection)
+        self.idle.pop(connection, None)
+        self.lingering.pop(connection, None)
+
+    def complain(self, text: str) -> None:
+        """Log what a client did, but not each time: one that sends nonsense at full speed fills no log."""
+        now = self.now()
+        if len(self._complaints) == COMPLAINTS and self._complaints[0] > now - 1:
+            self._unsaid += 1
+            return
+        if self._unsaid:
+            text += f" ({self._unsaid} more like this unsaid)"
+            self._unsaid = 0
+        self._complaints.append(now)
+        log.info("%s", text)
--- a/garnetrelay/config.py
+++ b/garnetrelay/config.py
@@ -14,6 +14,12 @@
 from starlingwick.settings import parse_settings
 
 
+# Descriptors that are neither a client's nor a host's: standard streams, the loop's own, the journal old and
+# new, discovery and notices, old and new as they move (16); clients accepted ahead of a look at them, and as
+# many that are told that there is no room (32).
+RESERVED = 48
+
+
 class ConfigError(ValueError):
     """A configuration that the relay cannot start with."""
 
@@ -55,6 +61,22 @@
     known: Any
     settings: io.Settings
 
+    @property
+    def shared_sockets(self) -> int:
+        """Descriptors for clients and hosts together."""
+        return max(8, self.sockets - RESERVED)
+
+    @property
+    def client_sockets(self) -> int:
+        """What of that hosts leave to clients in any case: a third of all may hold requests, and some come
+        and go."""
+        return min(self.shared_sockets // 2, self.sockets // 3 + 16)
+
+    @property
+    def host_sockets(self) -> int:
+        """What of it clients leave to hosts in any case: each slot's call, and a few probes."""
+        return min(self.shared_sockets - self.client_sockets, self.settings.slots + 8)
+
 
 def load(environment: Mapping[str, str]) -> Config:
     """The configuration that the environment points to; ConfigError with one plain line if it is unusable."""
@@ -90,7 +112,7 @@
     settings = parse_settings(facts)
     # The protocol carries one message in a call, whatever the simulator's kinds allow.
     kinds = tuple(dataclasses.replace(kind, per_call=1) for kind in settings.kinds)
-    return Config(
+    config = Config(
         name=str(environment.get("RELAY_NAME") or raw["name"]),
         listen=Address.parse(environment.get("RELAY_LISTEN") or raw["listen"]),
         discovery=Address.parse(environment.get("RELAY_DISCOVERY") or raw["discovery"]),
@@ -107,3 +129,6 @@
         known=raw.get("known"),
         settings=dataclasses.replace(settings, kinds=kinds),
     )
+    # A call out holds a connection: no more of them than there are descriptors.
+    slots = min(settings.slots, max(1, config.host_sockets - 8))
+    return dataclasses.replace(config, settings=dataclasses.replace(config.settings, slots=slots))
--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -142,6 +142,7 @@
         self.outcome: Outcome | None = None  # of the answer whose body is still coming
         self.received = 0
         self.body = b""
+        self.idle_from = 0.0
         self.transport: asyncio.Transport | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -265,15 +266,21 @@
 class Hosts:
     """The connections to all hosts, and the exchanges on them."""
 
-    def __init__(self, settings: io.Settings, most_open: int) -> None:
+    def __init__(self, settings: io.Settings, room: Callable[[], int], more_room: Callable[[], bool]) -> None:
         self.connect_time = settings.limits.connect_timeout / SECOND or 1.0
         self.idle_time = IDLE_SHARE * settings.limits.conn_idle / SECOND
-        self.most_open = most_open
+        self.room = room  # how many more connections there may be
+        self.more_room = more_room  # frees a descriptor elsewhere, where one can be had
         self.addresses: dict[str, Address] = {}
         self.open: set[Connection] = set()
         self.idle: dict[str, deque[Connection]] = {}
         self.opening: set[asyncio.Task[None]] = set()
 
+    @property
+    def count(self) -> int:
+        """Connections that there are, or will be in a moment."""
+        return len(self.open) + len(self.opening)
+
     def place(self, host: str, address: Address, draining: bool) -> None:
         """Where a host listens now; connections to elsewhere, or to one that drains, are not kept."""
         if draining or self.addresses.get(host, address) != address:
@@ -299,8 +306,9 @@
         if address is None:
             loop.call_soon(exchange.end, Outcome(io.Status.ABANDONED))
             return
-        if len(self.open) + len(self.opening) >= self.most_open:
-            self._close_oldest_idle()
+        if self.room() <= 0 and not self.close_longest_idle() and not self.more_room():
+            loop.call_soon(exchange.end, Outcome(io.Status.ABANDONED))
+            return
         exchange.opening = task = loop.create_task(self._connect(exchange, address))
         self.opening.add(task)
         task.add_done_callback(self._opened)
@@ -338,6 +346,7 @@
                 or self.addresses.get(connection.host) != connection.address or self.idle_time <= 0):
             connection.abort()
             return
+        connection.idle_from = time.monotonic()
         self.idle.setdefault(connection.host, deque()).append(connection)
         connection.timer = asyncio.get_running_loop().call_later(self.idle_time, connection.abort)
 
@@ -360,11 +369,13 @@
         for connection in list(self.open):
             connection.abort()
 
-    def _close_oldest_idle(self) -> None:
-        for idle in self.idle.values():
-            if idle:
-                idle[0].abort()
-                return
+    def close_longest_idle(self) -> bool:
+        """Make room for another connection, if one is idle."""
+        firsts = [idle[0] for idle in self.idle.values() if idle]
+        oldest = min(firsts, key=lambda connection: connection.idle_from, default=None)
+        if oldest is not None:
+            oldest.abort()
+        return oldest is not None
 
 
 def call(ref: str, key: str | None, body: bytes, stop_at: int) -> Ask:
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from garnetrelay import hosts as net
-from garnetrelay.clients import Reply, Request, Server
+from garnetrelay.clients import Rejected, Reply, Request, Server
 from garnetrelay.config import Config
 from garnetrelay.discovery import Discovery, News, Reader
 from garnetrelay.journal import Entry, Journal
@@ -68,13 +68,26 @@
         self.alarm: asyncio.TimerHandle | None = None
         self.stopping = False
         self.finished = asyncio.Event()
-        # Half of the descriptors for hosts, most of the rest for clients; a few for discovery and files.
-        self.hosts = net.Hosts(config.settings, config.sockets // 2)
-        self.server = Server(self.on_request, max(1, config.sockets // 2 - 48))
+        # Clients and hosts share the descriptors: each may have what the other does not use of its own part.
+        self.hosts = net.Hosts(config.settings, self._host_room, lambda: self.server.close_longest_idle())
+        self.server = Server(self.on_request, self._client_room, self._more_client_room)
         self.reader = Reader(config)
         self.discovery = Discovery(config.discovery, self.reader, 0, self.on_news)
         self.notices = Notices(config.discovery, self.journal.told)
 
+    def _host_room(self) -> int:
+        """How many more connections to hosts there may be."""
+        clients = max(self.config.client_sockets, len(self.server.connections))
+        return self.config.shared_sockets - clients - self.hosts.count
+
+    def _client_room(self) -> int:
+        """How many more connections of clients there may be."""
+        hosts = max(self.config.host_sockets, self.hosts.count)
+        return self.config.shared_sockets - hosts - len(self.server.connections)
+
+    def _more_client_room(self) -> bool:
+        return self.hosts.count > self.config.host_sockets and self.hosts.close_longest_idle()
+
     async def start(self) -> tuple[str, int]:
         """Pick up what an earlier life left, then listen; the address that clients may use."""
         self.notices.start()
@@ -173,21 +186,16 @@
     def on_request(self, request: Request, reply: Reply) -> None:
         """A client hands in a message. It is answered within the coming turn."""
         if request.klass not in self.class_numbers:
-            reply.error(f"unknown class '{request.klass[:40]}'")
-            log.info("client request for an unknown class")
-            return
+            raise Rejected(f"unknown class '{request.klass[:40]}'")
         if request.dest not in self.dests:
-            reply.error(f"unknown destination {request.dest}")
-            log.info("client request for an unknown destination %d", request.dest)
-            return
+            raise Rejected(f"unknown destination {request.dest}")
         klass = self.settings.classes[self.class_numbers[request.klass]]
         if klass.repeat is io.Repeat.KEYED and request.key is None:
-            # Without its key no host could drop a repeat.
-            reply.error("'k' is missing")
-            log.info("client request of a keyed class without a key")
-            return
-        if request.ref in self.held:
-            reply.ok()  # it is taken on already
+            raise Rejected("'k' is missing")  # without its key no host could drop a repeat
+        if request.patience_ms * MS > 2 * klass.deadline:
+            raise Rejected("'d' is far over the class's deadline")
+        if request.ref in self.held or request.ref in self.journal.entries:
+            reply.ok()  # it is taken on already; its end may still be on its way to the platform
             return
         if request.ref in self.newcomers:
             reply.busy(0)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -209,6 +209,7 @@
         self.limits: dict[str, float] = {"memory_mb": 192, "sockets": 1024, "disk_mb": 3}
         self.endpoints: list[dict[str, Any]] = []
         self.relays: list[Relay] = []
+        self.port = 0
 
     async def prepare(self) -> None:
         await self.host.start()
@@ -231,8 +232,8 @@
         """A relay in this process, and a client of it."""
         relay = Relay(self.config())
         self.relays.append(relay)
-        _, port = await relay.start()
-        return await Client.connect(port)
+        _, self.port = await relay.start()
+        return await Client.connect(self.port)
 
     async def stop(self) -> None:
         for relay in self.relays:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from garnetrelay import discovery, hosts
+from garnetrelay import clients, discovery, hosts
 from starlingwick import interface as io
-from tests.sockets import Field, HttpServer, endpoint, listing, until
+from tests.sockets import Client, Field, HttpServer, endpoint, listing, until
 
 # ---- admission
 
@@ -81,13 +81,16 @@
 
 @pytest.mark.parametrize("data", [
     b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n$-7\r\n", b"*-3\r\n", b"*1\r\n$nine\r\n", b"*1\r\n:5\r\n",
+    b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$1\r\nm\r\n$20\r\nc=safe,d=8000,dest=3\r\n$4\r\nabcdefgh\r\n",
     b"*4000000000\r\n", b"*1\r\n*1\r\n$4\r\nPING\r\n", b"*1\r\n$100000000\r\n" + bytes(2_000_000),
-], ids=["inline", "length", "count", "no length", "integer", "huge count", "nested", "huge length"])
+], ids=["inline", "length", "count", "no length", "integer",
+        "short length", "huge count", "nested", "huge length"])
 async def test_lost_framing_gets_an_error_and_a_close(field: Field, data: bytes) -> None:
     client = await field.start()
     client.writer.write(data)
     assert (await client.read()).startswith("ERR")
     assert await client.read() is None
+    assert field.relays[0].held == {}
 
 
 async def test_answers_come_in_the_order_of_pipelined_requests(field: Field) -> None:
@@ -98,6 +101,105 @@
     assert [await client.read() for _ in range(3)] == [b"one", b"OK", b"two"]
 
 
+@pytest.mark.parametrize("data", [b"", b"*5\r\n$7\r\nENQ"], ids=["silent", "half"])
+async def test_client_without_a_whole_command_is_shut_out_by_the_clock(
+        field: Field, monkeypatch: pytest.MonkeyPatch, data: bytes) -> None:
+    """The time runs from the beginning: a byte now and then wins none. One that has asked may stay."""
+    assert clients.COMMAND_TIME < 3
+    monkeypatch.setattr(clients, "COMMAND_TIME", 0.2)
+    usual = await field.start()
+    assert await usual.ask("PING") == b"PONG"
+    bad = await Client.connect(field.port)
+    bad.writer.write(data)
+    drip = asyncio.create_task(dripping(bad, data))
+    assert (await bad.read()).startswith("ERR") and await bad.read() is None
+    drip.cancel()
+    assert await usual.ask("PING") == b"PONG"
+
+
+async def dripping(client: Client, data: bytes) -> None:
+    while data:
+        await asyncio.sleep(0.05)
+        client.writer.write(b"U")
+
+
+async def test_sender_of_much_gets_to_read_the_error(field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It reads only when it has sent all, long after it was shut out."""
+    monkeypatch.setattr(clients, "LINGER", 0.1)
+    client = await field.start()
+    client.write("PING")
+    client.writer.write(b"*1\r\n$60000000\r\n")
+    assert await client.read() == b"PONG"
+    for _ in range(60):
+        client.writer.write(bytes(1_000_000))
+        await client.writer.drain()
+        await asyncio.sleep(0.005)
+    assert (await client.read()).startswith("ERR") and await client.read() is None
+
+
+async def test_longest_idle_client_makes_room_for_a_newcomer(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Never one with a request begun. When nobody can go, the newcomer hears that it may come again."""
+    field.limits["sockets"] = 60
+    first = await field.start()
+    relay = field.relays[0]
+    room = relay._client_room()
+    others = [await Client.connect(field.port) for _ in range(room)]
+    for client in (first, *others):
+        assert await client.ask("PING") == b"PONG"
+    assert relay._client_room() == 0
+    late = await Client.connect(field.port)
+    assert (await late.read()).startswith("BUSY") and await late.read() is None
+    monkeypatch.setattr(clients, "IDLE_TIME", 0.0)
+    first.writer.write(b"*1\r\n")  # a command has begun
+    await until(lambda: any(connection.raw for connection in relay.server.connections))
+    late = await Client.connect(field.port)
+    assert await late.ask("PING") == b"PONG"
+    assert await others[0].read() is None
+    first.writer.write(b"$4\r\nPING\r\n")
+    assert await first.read() == b"PONG" and await others[1].ask("PING") == b"PONG"
+
+
+async def test_longest_idle_host_connection_makes_room(field: Field) -> None:
+    """The longest idle of all hosts, for a client or for another host."""
+    other = HttpServer()
+    await other.start()
+    field.endpoints.append(endpoint(other, "s-2"))
+    await field.start()
+    net = field.relays[0].hosts
+    opened = []
+    for host in ("s-2", "s-1"):
+        net.begin(hosts.Exchange(host, 1 << 62, lambda: None, lambda outcome: opened.append(outcome)))
+        await until(lambda: bool(opened))
+        opened.clear()
+    assert net.close_longest_idle() and not net.idle["s-2"] and net.idle["s-1"]
+    assert net.close_longest_idle() and not net.close_longest_idle()
+    net.room = lambda: 0
+    net.begin(hosts.Exchange("s-1", 1 << 62, lambda: None, opened.append))
+    await until(lambda: bool(opened))
+    assert opened == [hosts.Outcome(io.Status.ABANDONED)] and net.count == 0
+    await other.stop()
+
+
+async def test_message_that_ended_and_is_not_told_yet_is_not_taken_on_anew(field: Field) -> None:
+    field.platform.refusals = 1_000_000
+    client = await field.start()
+    await client.enqueue("m1", "unsafe")
+    (await field.host.next_call()).answer(500)
+    await until(lambda: not field.relays[0].held)
+    assert await client.enqueue("m1", "unsafe") == b"OK"
+    assert not field.relays[0].held and field.relays[0].journal.entries["m1"].ended == "dead"
+
+
+async def test_nonsense_at_full_speed_fills_no_log(field: Field, caplog: pytest.LogCaptureFixture) -> None:
+    client = await field.start()
+    caplog.set_level("INFO")
+    client.writer.write(b"*1\r\n$4\r\nNONE\r\n" * 600)
+    for _ in range(600):
+        assert (await client.read()).startswith("ERR")
+    assert 0 < sum("not understood" in line for line in caplog.messages) < 60
+
+
 # ---- outcomes
 
 @pytest.mark.parametrize(("status", "headers", "outcome"), [
