Spoilt answers: a first line with 200 settles a call, anything else unread may have run

Seen in the probe's lines: endless heads and double or negative lengths behind 'HTTP/1.1 200 OK', 'ICY 200', '2x0', 'OK 200' and noise; each was taken for a reset, as read_outcome came only behind a whole head. So delivered unsafe messages ended dead, and the Pacer counted resets against healthy hosts. To blame: hosts.Connection.data_received, control.learn.

Now: the first line is looked at where h11 has no head to give; a 429, 503 or 410 counts once its answer is whole; an answer that has begun gets 0.5 s and 80 KB; a new status, SPOILT, may have run and says nothing of health. 1xx ahead take what time they like.

--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -1,7 +1,8 @@
 """Calls and probes to hosts over HTTP/1.1, and the connections they travel on.
 
 A connection carries one call at a time and is used again while it is surely good. An exchange that is
-written in full and then breaks is a reset; before that it never ran. Nothing is ever sent again from here.
+written in full and then breaks is a reset; before that it never ran. An answer that can't be read is spoilt,
+whatever it seems to say, but for a first line with 200. Nothing is ever sent again from here.
 """
 
 from __future__ import annotations
@@ -9,6 +10,7 @@
 import asyncio
 import logging
 import math
+import re
 import select
 import time
 from collections import deque
@@ -26,7 +28,9 @@
 IDLE_SHARE = 0.8  # of the host's own idle limit: a call written just as it closes would end as a reset
 MOST_HEAD = 16 * 1024
 MOST_ANSWER = 64 * 1024  # beyond this an answer is not worth reading for its connection's sake
-DRAIN_TIME = 0.5  # seconds for what is left of an answer whose outcome is known
+DRAIN_TIME = 0.5  # seconds for what is left of an answer once it has begun
+DELIVERED = re.compile(  # a first line with 200, behind any number of 1xx answers
+    rb"(?:HTTP/1\.[01] 1\d\d[^\n]*+\n(?:[^\r\n][^\n]*+\n)*+\r?\n)*+HTTP/1\.[01] 200[ \r\n]")
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,8 +87,8 @@
                 self.opening.cancel()
             self.end(Outcome(io.Status.CONNECT_FAILED))
             return
-        outcome = connection.outcome or Outcome(
-            status if connection.written_in_full() else io.Status.CONNECT_FAILED)
+        # Once written in full it may have run, also if the answer has begun and says that it did not.
+        outcome = Outcome(status if connection.written_in_full() else io.Status.CONNECT_FAILED)
         connection.abort()
         if outcome.status is io.Status.TIMEOUT:
             # A machine that vanished keeps its connections open and silent, and resets them once it is back:
@@ -140,7 +144,9 @@
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD)
         self.exchange: Exchange | None = None
         self.outcome: Outcome | None = None  # of the answer whose body is still coming
+        self.head = b""  # as far as it has come
         self.received = 0
+        self.at_end = False  # the host sends nothing more
         self.body = b""
         self.idle_from = 0.0
         self.transport: asyncio.Transport | None = None
@@ -156,10 +162,12 @@
         if self.timer is not None:
             self.timer.cancel()
         if self.exchange is not None:
-            self._finish(self.outcome or Outcome(io.Status.RESET), keep=False)
+            self.at_end = True
+            self._finish(self._unread(), keep=False)
 
     def eof_received(self) -> bool:
         # An answer without a length ends with its connection.
+        self.at_end = True
         self.data_received(b"")
         return False
 
@@ -178,11 +186,9 @@
 
     def start(self, exchange: Exchange, ask: Ask) -> None:
         """Write the request."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
+        self._stop_timer()
         self.exchange, exchange.connection = exchange, self
-        self.outcome, self.received, self.body = None, 0, b""
+        self.outcome, self.head, self.received, self.body = None, b"", 0, b""
         headers = [("Host", str(self.address)), *ask.headers]
         data = self.http.send(h11.Request(method=ask.method, target=ask.target, headers=headers)) or b""
         if ask.body:
@@ -196,14 +202,47 @@
             self.abort()  # nothing was asked: whatever this is, the next answer could not be told from it
             return
         self.received += len(data)
+        if self.outcome is None:
+            self.head = (self.head + data)[:MOST_HEAD]
+        broken = False
         try:
             self.http.receive_data(data)
             self._read_events()
         except h11.RemoteProtocolError as error:
             log.debug("host %s: answer can't be read: %s", self.host, error)
-            self._finish(self.outcome or Outcome(io.Status.RESET), keep=False)
-        if self.exchange is not None and self.received > MOST_ANSWER + MOST_HEAD:
-            self._finish(self.outcome or Outcome(io.Status.RESET), keep=False)
+            broken = True
+        if self.exchange is None:
+            return
+        if self.outcome is None and DELIVERED.match(self.head):
+            self._settle(Outcome(io.Status.OK, finished=True))  # true, whatever becomes of the rest
+        if broken or self.received > MOST_ANSWER + MOST_HEAD:
+            self._finish(self._unread(), keep=False)
+        elif self.outcome is None and not self.http.trailing_data[0]:
+            self.head = b""  # 1xx answers, whole: the answer itself may take its time
+            self._stop_timer()
+        elif self.timer is None:
+            self.timer = asyncio.get_running_loop().call_later(DRAIN_TIME, self._overdue)
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def _settle(self, outcome: Outcome) -> None:
+        """The first line is enough. The connection stays busy until the rest has come."""
+        self.outcome = outcome
+        if self.exchange is not None:
+            self.exchange.end(outcome)
+
+    def _unread(self) -> Outcome:
+        """What an answer tells that will not be read to its end: that it came, and a 200."""
+        if self.outcome is not None and self.outcome.status is io.Status.OK:
+            return self.outcome
+        # Without a byte, or cut short by the connection's end, it is the connection that failed.
+        return Outcome(io.Status.RESET if self.at_end or not self.received else io.Status.SPOILT)
+
+    def _overdue(self) -> None:
+        self._finish(self._unread(), keep=False)
 
     def _read_events(self) -> None:
         while self.exchange is not None:
@@ -211,10 +250,8 @@
             match event:
                 case h11.Response():
                     self.outcome = read_outcome(event.status_code, list(event.headers))
-                    if self.outcome.finished and self.exchange is not None:
-                        # The first line settles it. The connection stays busy until the rest has come.
-                        self.exchange.end(self.outcome)
-                        self._expect_rest()
+                    if self.outcome.status is io.Status.OK:
+                        self._settle(self.outcome)
                 case h11.Data():
                     self.body += bytes(event.data)
                 case h11.EndOfMessage():
@@ -222,13 +259,10 @@
                 case h11.InformationalResponse():
                     pass
                 case h11.ConnectionClosed():
-                    self._finish(self.outcome or Outcome(io.Status.RESET), keep=False)
+                    self._finish(self._unread(), keep=False)
                 case _:
                     return  # more has to come
 
-    def _expect_rest(self) -> None:
-        self.timer = asyncio.get_running_loop().call_later(DRAIN_TIME, self.abort)
-
     def _answer_complete(self) -> None:
         keep = (self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
                 and not self.http.trailing_data[0])
@@ -242,9 +276,7 @@
 
     def _finish(self, outcome: Outcome, keep: bool) -> None:
         exchange, self.exchange = self.exchange, None
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
+        self._stop_timer()
         if keep:
             self.pool.rest(self)
         else:
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -46,7 +46,7 @@
 PROBE_TIME = 3 * SECOND // 2  # for a probe's answer
 BUDGET = 0.9  # of this relay's part of what a cold destination can take: the estimate of capacity is noisy
 
-MAY_HAVE_RUN = (Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
+MAY_HAVE_RUN = (Status.ERROR, Status.SPOILT, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 MAY_STILL_RUN = (Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 
 
@@ -453,6 +453,8 @@
             self.judge(dest, host, True)
         elif status is Status.FULL:
             self.on_refused(call, wait, left)
+        elif status is Status.SPOILT:  # no word on health, but an answer: those sent before are not overdue
+            host.last_ok_sent = max(host.last_ok_sent, call.sent_at)
         elif status in (Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED):
             if not call.blamed:
                 self.judge(dest, host, False)
--- a/starlingwick/interface.py
+++ b/starlingwick/interface.py
@@ -44,6 +44,7 @@
 
     OK = 10
     ERROR = 20
+    SPOILT = 25  # an answer came that can't be read: the call ran, and what came of it is unknown
     FULL = 30
     TIMEOUT = 40
     CONNECT_FAILED = 50
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -242,11 +242,74 @@
     assert field.platform.notices.empty()
 
 
-async def test_answer_that_cannot_be_read_is_a_reset(field: Field) -> None:
+HEAD_200 = b"HTTP/1.1 200 OK\r\n"
+
+
+@pytest.mark.parametrize("data", [
+    HEAD_200 + b"X-Pad: p\r\n" * 4000, HEAD_200 + b"X-Pad: p\r\n", HEAD_200 + b"Content-Length: -1\r\n\r\n",
+    HEAD_200 + b"Content-Length: 3000000000\r\n\r\n" + bytes(200_000), HEAD_200 + b"no header\r\n\r\n",
+    HEAD_200 + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", HEAD_200 + b"Content-Length: 9\r\n\r\nx",
+    b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + HEAD_200 + b"Content-Length: x\r\n\r\n",
+], ids=["endless head", "head that stops", "length", "huge", "header", "chunks", "short", "behind 1xx"])
+async def test_first_line_with_200_is_true_in_a_spoilt_answer(
+        field: Field, monkeypatch: pytest.MonkeyPatch, data: bytes) -> None:
+    monkeypatch.setattr(hosts, "DRAIN_TIME", 0.1)
+    client = await field.start()
+    await client.enqueue("m1", "unsafe")
+    call = await field.host.next_call()
+    call.raw(data)
+    await until(lambda: not field.relays[0].held)
+    async with asyncio.timeout(20):
+        assert await field.host.closed.get() == call.connection
+    assert field.platform.notices.empty() and field.relays[0].journal.entries == {}
+
+
+@pytest.mark.parametrize("data", [
+    b"\x00\x01 what is this?\r\n\r\n", b"HTTP/1.1 OK 200\r\n\r\n", b"HTTP/1.1 2x0 OK\r\n\r\n",
+    b"HTTP/1.1 429 Slow\r\nX-Backoff-Ms: 60000\r\nContent-Length: -4\r\n\r\n",
+    b"HTTP/1.1 503 No\r\nContent-Length: 3000000000\r\n\r\n" + bytes(200_000),
+    b"HTTP/1.1 410 Gone\r\nContent-Length: 9\r\n\r\nx", b"HTTP/1.1 503 No\r\nX-Pad: p\r\n", b"noise",
+], ids=["noise", "line", "status", "429", "endless body", "short 410", "endless head", "no line"])
+async def test_anything_else_spoilt_may_have_run_and_says_nothing_of_the_host(
+        field: Field, monkeypatch: pytest.MonkeyPatch, data: bytes) -> None:
+    """The host answers others as before: it is neither suspect nor told to be waited for."""
+    monkeypatch.setattr(hosts, "DRAIN_TIME", 0.1)
+    client = await field.start()
+    await client.enqueue("m1", "unsafe", d=8000)
+    call = await field.host.next_call()
+    call.raw(data)
+    assert await field.platform.next_notice() == {"ref": "m1", "result": "dead"}
+    dest, host = field.relays[0].pacer.hosts["s-1"]
+    assert dest.bad == host.bad == 0 and dest.wait_until == 0 and dest.refused_from is None
+    async with asyncio.timeout(20):
+        assert await field.host.closed.get() == call.connection
+
+
+async def test_good_answer_with_more_than_belongs_to_it_stays_good(field: Field) -> None:
+    client = await field.start()
+    await client.enqueue("m1", "unsafe")
+    first = await field.host.next_call()
+    first.raw(b"HTTP/1.1 429 Slow\r\nX-Server-Load: x0=?\r\nContent-Length: 0\r\n\r\n" + b"noise")
+    again = await field.host.next_call()  # it never ran: an unsafe message goes again, on another connection
+    assert again.headers["x-request-id"] == "m1" and again.connection != first.connection
+    again.answer(200)
+    await until(lambda: not field.relays[0].held)
+
+
+async def test_answer_may_take_its_time_behind_1xx(field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(hosts, "DRAIN_TIME", 0.05)
     client = await field.start()
     await client.enqueue("m1", "unsafe")
-    (await field.host.next_call()).raw(b"\x00\x01 what is this?\r\n\r\n")
-    assert (await field.platform.next_notice())["result"] == "dead"
+    call = await field.host.next_call()
+    call.raw(b"HTTP/1.1 102 Proc")
+    (connection,) = field.relays[0].hosts.open
+    await until(lambda: connection.timer is not None)
+    call.raw(b"essing\r\n\r\n")
+    await until(lambda: connection.timer is None)
+    assert connection.exchange is not None
+    call.answer(200)
+    await until(lambda: not field.relays[0].held)
+    assert field.platform.notices.empty()
 
 
 async def test_message_past_all_its_attempts_ends_at_once(field: Field) -> None:
