--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -338,7 +338,8 @@
         if address is None:
             loop.call_soon(exchange.end, Outcome(io.Status.ABANDONED))
             return
-        if self.room() <= 0 and not self.close_longest_idle() and not self.more_room():
+        # An idle client costs nothing to close; an idle connection to a host saves a call its handshake.
+        if self.room() <= 0 and not self.more_room() and not self.close_longest_idle():
             loop.call_soon(exchange.end, Outcome(io.Status.ABANDONED))
             return
         exchange.opening = task = loop.create_task(self._connect(exchange, address))
