--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -703,7 +703,8 @@
                     continue
                 fee = fees[host.zone] if host.zone < len(fees) and len(self.routes[m.dest]) > 1 else 0.0
                 sick = host.bad > SUSPECT and host.retry_at > self.now
-                rank = (sick, fee, host.calls, host.last_sent)
+                crowded = self.is_crowded(dest)
+                rank = (sick, crowded, 0.0 if crowded else fee, host.calls, host.last_sent)
                 if best is None or rank < best_rank:
                     best, best_rank = (dest, host), rank
         if best is None:
@@ -727,6 +728,14 @@
             self.leave(one)
             self.actions.append(Send(one.name, host.name, self.give_up_at(one, dest)))
 
+    def is_crowded(self, dest: Destination) -> bool:
+        """Little's Law: a route has out what its part of its limit makes at the quickest route's pace.
+        More would wait there and hold their slots for it, which costs more than the fee of a free route."""
+        means = [r.mean for r in self.routes[dest.number] if r.mean]
+        if not means or not dest.listed:
+            return False
+        return len(dest.calls) >= max(1, round(min(means) / self.turn(dest)))
+
     def count_call(self, dest: Destination, host: Host) -> None:
         """Spend what paces the next call there; a ceiling lets at most one second's calls catch up."""
         self.mark(dest.sent, SENT_SPAN)
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -216,6 +216,18 @@
     assert len(relay.sends()) == 6
 
 
+def test_free_route_goes_before_a_crowded_one_also_at_a_fee() -> None:
+    """All went by the routes without a fee, which took three times as long for it and held all slots,
+    while those with a fee stood idle."""
+    relay = Relay(entry("cheap", kind=1, zone=0, rate=20.0), entry("dear", kind=1, zone=1, rate=20.0),
+                  slots=12, listed_rates=True, zone_fees=(0.0, 0.03))
+    relay.serve(5)
+    assert set(relay.where.values()) == {"cheap"}
+    relay.turn(*[relay.message() for _ in range(4)], after=100 * MS)
+    # One call at once is 10 a second, its part of 20, times 100 ms; then the fee is no matter any more.
+    assert sorted(send.host for send in relay.sends()) == ["cheap", "cheap", "dear", "dear"]
+
+
 def test_connection_that_will_not_be_used_soon_is_closed() -> None:
     """Idle connections of many relays filled a host's table, and idle ones were dropped unseen (i8cfdde)."""
     many = Relay(entry("a"), relays=60)
