Reports are believed only within reason

A limit must lie within ten times the agreed rate either way (0.05 to 10,000 a second where none is listed), the share left under 1.5; any other report counts as none, and each good one replaces the last.

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -44,6 +44,9 @@
 SPENT = 0.1  # this little left, noisy as it is told: the next call is refused as likely as not
 REST = SECOND // 4  # first pause of our own after a refusal or a failure; it grows with the trouble
 PROBE_TIME = 3 * SECOND // 2  # for a probe's answer
+TRUST = 10.0  # times the agreed rate that a reported limit may lie above or below it
+LEAST_LIMIT, MOST_LIMIT = 0.05, 10_000.0  # calls a second: what any destination might report
+MOST_LEFT = 1.5  # of a limit: noise makes a little more than all of it, nothing makes this
 BUDGET = 0.9  # of this relay's part of what a cold destination can take: the estimate of capacity is noisy
 
 MAY_HAVE_RUN = (Status.ERROR, Status.SPOILT, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
@@ -73,7 +76,8 @@
     number: int
     per_call: int
     hosts: list[Host] = field(default_factory=list)
-    listed: float = 0.0  # calls a second it takes from all relays, as listed or reported; 0: unknown
+    agreed: float = 0.0  # calls a second it takes from all relays, as listed; 0: unknown
+    listed: float = 0.0  # the same, as listed or reported
     ceiling: float | None = None  # calls a second of this relay
     ceiling_at: int = 0  # when the ceiling last changed
     cut_at: int = 0  # when it was last cut
@@ -245,8 +249,8 @@
             routes[-1].hosts.append(self.hosts[entry.host][1])
         dest, host = self.hosts[entry.host]
         host.usable = entry.availability is Availability.RUNNING
-        if self.settings.listed_rates and not dest.listed:
-            dest.listed = entry.rate
+        if self.settings.listed_rates and not dest.listed and LEAST_LIMIT <= entry.rate <= MOST_LIMIT:
+            dest.agreed = dest.listed = entry.rate
 
     def forget(self, name: str) -> None:
         """A host that is gone; its calls run on. A route goes with its last host: memory stays bounded."""
@@ -441,7 +445,7 @@
         """What one call's outcome says of its destination and host."""
         dest, host = call.dest, call.host
         left: float | None = None  # share of the limit, where one is reported
-        if report is not None and report.limit > 0:
+        if report is not None and self.is_plausible(dest, report):
             dest.listed, left = report.limit, report.left
         if status is Status.OK:
             dest.refused_from = None
@@ -459,6 +463,11 @@
             if not call.blamed:
                 self.judge(dest, host, False)
 
+    def is_plausible(self, dest: Destination, report: Report) -> bool:
+        """Whether a report may be believed, till the next one: it is another's word, and may be anything."""
+        low, high = dest.agreed / TRUST or LEAST_LIMIT, dest.agreed * TRUST or MOST_LIMIT
+        return low <= report.limit <= high and report.left <= MOST_LEFT
+
     def on_refused(self, call: Call, wait: int, left: float | None) -> None:
         """The design's signal. A refusal that no limit explains, for long, is a shut destination."""
         dest = call.dest
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -228,6 +228,24 @@
     assert sorted(send.host for send in relay.sends()) == ["cheap", "cheap", "dear", "dear"]
 
 
+@pytest.mark.parametrize("report", [io.Report(0.5, 1e300), io.Report(0.5, 1e-300), io.Report(0.5, 900.0),
+                                    io.Report(0.5, 0.01), io.Report(1e9, 20.0)])
+@pytest.mark.parametrize("agreed", [20.0, 0.0])
+def test_absurd_report_is_not_believed(report: io.Report, agreed: float) -> None:
+    """One figure out of all range divided by nothing, or paced a destination by it."""
+    relay = Relay(entry("a", rate=agreed), listed_rates=True)
+    relay.serve(3)
+    dest = relay.pacer.routes[1][0]
+    relay.turn(relay.message(), after=100 * MS)
+    relay.turn(relay.verdict("m4", io.Status.OK, report=report), after=100 * MS)
+    assert dest.listed == agreed or agreed == 0 and dest.listed == 900.0
+    relay.serve(3)
+    relay.turn(relay.message(), after=100 * MS)
+    good = io.Report(0.5, 31.0)
+    relay.turn(relay.verdict(relay.sends()[0].call, io.Status.OK, report=good), after=100 * MS)
+    assert dest.listed == 31.0
+
+
 def test_connection_that_will_not_be_used_soon_is_closed() -> None:
     """Idle connections of many relays filled a host's table, and idle ones were dropped unseen (i8cfdde)."""
     many = Relay(entry("a"), relays=60)
