--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -690,15 +690,16 @@
         for m, opens in hopeless:  # handed back at once: the client may come to a relay that may try sooner
             self.end(m, opens)
         ready.sort(key=lambda m: (-self.urgency(m), m.deadline, m.arrived))
-        for m in ready:
-            if len(self.calls) >= self.settings.slots:
-                break
-            if m.call is None and not m.over:
-                self.place(m)
+        for crowded in (False, True):  # slots are short: first those that will not wait at their destination
+            for m in ready:
+                if len(self.calls) >= self.settings.slots:
+                    break
+                if m.call is None and not m.over:
+                    self.place(m, crowded)
         if self.settings.limits.probes:
             self.probe()
 
-    def place(self, m: Message) -> None:
+    def place(self, m: Message, crowded_too: bool) -> None:
         """Send a message by the best host that the gate lets it use; others for that host fill the call."""
         fees = self.settings.zone_fees
         best: tuple[Destination, Host] | None = None
@@ -713,6 +714,8 @@
                 fee = fees[host.zone] if host.zone < len(fees) and len(self.routes[m.dest]) > 1 else 0.0
                 sick = host.bad > SUSPECT and host.retry_at > self.now
                 crowded = self.is_crowded(dest)
+                if crowded and not crowded_too:
+                    continue
                 rank = (sick, crowded, 0.0 if crowded else fee, host.calls, host.last_sent)
                 if best is None or rank < best_rank:
                     best, best_rank = (dest, host), rank
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -228,6 +228,16 @@
     assert sorted(send.host for send in relay.sends()) == ["cheap", "cheap", "dear", "dear"]
 
 
+def test_slots_go_first_where_no_call_waits_for_another() -> None:
+    """A slow destination's messages were as urgent as others and took slots only to wait there."""
+    relay = Relay(*[entry(name, dest=dest, rate=20.0) for dest, name in enumerate("abc", 1)], slots=4,
+                  listed_rates=True)
+    for dest in (1, 2, 3):
+        relay.serve(3, dest=dest)
+    relay.turn(*[relay.message(dest=dest) for dest in (1, 1, 1, 2, 2, 2, 3)], after=100 * MS)
+    assert sorted(send.host for send in relay.sends()) == ["a", "a", "b", "c"]
+
+
 @pytest.mark.parametrize("report", [io.Report(0.5, 1e300), io.Report(0.5, 1e-300), io.Report(0.5, 900.0),
                                     io.Report(0.5, 0.01), io.Report(1e9, 20.0)])
 @pytest.mark.parametrize("agreed", [20.0, 0.0])
