Blame: one broken or silent connection does not hold its destination back; fees are paid only where slots are short

To blame: gate() counted overdue calls as the one trial; learn() judged a reset or time-out also where a later call had been answered; _finish() closed idle connections on a reset, which a look at the socket finds.

--- a/garnetrelay/hosts.py
+++ b/garnetrelay/hosts.py
@@ -29,8 +29,8 @@
 MOST_HEAD = 16 * 1024
 MOST_ANSWER = 64 * 1024  # beyond this an answer is not worth reading for its connection's sake
 DRAIN_TIME = 0.5  # seconds for what is left of an answer once it has begun
-DELIVERED = re.compile(  # a first line with 200, behind any number of 1xx answers
-    rb"(?:HTTP/1\.[01] 1\d\d[^\n]*+\n(?:[^\r\n][^\n]*+\n)*+\r?\n)*+HTTP/1\.[01] 200[ \r\n]")
+DELIVERED = re.compile(  # a whole first line with 200, behind any number of 1xx answers
+    rb"(?:HTTP/1\.[01] 1\d\d[^\n]*+\n(?:[^\r\n][^\n]*+\n)*+\r?\n)*+HTTP/1\.[01] 200(?: [^\n]*)?\r?\n")
 
 
 @dataclass(frozen=True, slots=True)
@@ -282,9 +282,6 @@
         else:
             self.abort()
         if exchange is not None:
-            if not keep and outcome.status in (io.Status.RESET, io.Status.TIMEOUT):
-                # A host that broke one connection has likely lost the others too.
-                self.pool.close_idle(self.host)
             exchange.end(outcome)
 
     def abort(self) -> None:
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -36,6 +36,7 @@
 
 # Ours.
 BAD_WEIGHT = 0.3  # of the newest outcome in a host's share of bad ones: two bad in a row pass one half
+RESET_WEIGHT = 0.2  # of a reset: one connection's end does not make its host suspect, two in a row do
 SUSPECT = 0.25  # a share of bad outcomes that one bad outcome passes and one good one after it undoes
 OUT = 0.5  # most calls fail: the rules' own word for an outage
 MEAN_WEIGHT = 0.1  # of the newest response time in the mean
@@ -460,8 +461,10 @@
         elif status is Status.SPOILT:  # no word on health, but an answer: those sent before are not overdue
             host.last_ok_sent = max(host.last_ok_sent, call.sent_at)
         elif status in (Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED):
-            if not call.blamed:
-                self.judge(dest, host, False)
+            # A call sent after it has been answered: its connection failed, not the host.
+            alone = status in (Status.RESET, Status.TIMEOUT) and host.last_ok_sent > call.sent_at
+            if not call.blamed and not alone:
+                self.judge(dest, host, False, RESET_WEIGHT if status is Status.RESET else BAD_WEIGHT)
 
     def is_plausible(self, dest: Destination, report: Report) -> bool:
         """Whether a report may be believed, till the next one: it is another's word, and may be anything."""
@@ -522,10 +525,10 @@
             served = self.rate(dest.served, self.settings.rules.ramp_time)
             dest.part = max(served, dest.listed / self.settings.relays)
 
-    def judge(self, dest: Destination, host: Host, good: bool) -> None:
+    def judge(self, dest: Destination, host: Host, good: bool, weight: float = BAD_WEIGHT) -> None:
         """Health from outcomes, and when to try again after a bad one."""
         for one in (dest, host):
-            one.bad += BAD_WEIGHT * ((0.0 if good else 1.0) - one.bad)
+            one.bad += weight * ((0.0 if good else 1.0) - one.bad)
         was, dest.out = dest.out, dest.bad > OUT
         if good and was and not dest.out:
             # Nobody saw it come back: half of the time since the last failure, in the mean.
@@ -625,7 +628,7 @@
         if self.stopping_at < NEVER and self.now + self.late_after(dest) > self.stopping_at:
             return NEVER  # cut off by the end of the process it might have run: the next life sends it
         when = max(dest.wait_until, dest.rest_until)
-        if (dest.bad > SUSPECT or dest.refused_from is not None) and (dest.calls or host.probing):
+        if (dest.bad > SUSPECT or dest.refused_from is not None) and (host.probing or not self.may_try(dest)):
             return NEVER  # in trouble or refused since the last success: one at a time
         if len(dest.calls) >= self.most_calls(dest):
             return NEVER
@@ -649,6 +652,12 @@
                 return NEVER  # let a repeatable message or a probe try first
         return when
 
+    def may_try(self, dest: Destination) -> bool:
+        """Whether a destination in trouble may get its one call. An overdue one may stand on a connection
+        that fell silent, until its deadline: it has been counted, and a few of them do not block the way."""
+        overdue = sum(call.blamed for call in dest.calls)
+        return overdue == len(dest.calls) and overdue <= self.settings.slots // 8
+
     def clear_to_send(self, now: int, call: str | None, name: str) -> bool:
         """The last look, just before a call's first byte (a probe's, without ``call``): a connection may
         have taken long to come up, and what was learned since binds it (rules 2, 3 and 6)."""
@@ -690,16 +699,18 @@
         for m, opens in hopeless:  # handed back at once: the client may come to a relay that may try sooner
             self.end(m, opens)
         ready.sort(key=lambda m: (-self.urgency(m), m.deadline, m.arrived))
-        for crowded in (False, True):  # slots are short: first those that will not wait at their destination
+        # Where slots are short, first those that will not wait at their destination.
+        short = len(self.calls) + len(ready) > SLOT_SHARE * self.settings.slots
+        for spare_crowded in (True, False) if short else (None,):
             for m in ready:
                 if len(self.calls) >= self.settings.slots:
                     break
                 if m.call is None and not m.over:
-                    self.place(m, crowded)
+                    self.place(m, spare_crowded)
         if self.settings.limits.probes:
             self.probe()
 
-    def place(self, m: Message, crowded_too: bool) -> None:
+    def place(self, m: Message, spare_crowded: bool | None) -> None:
         """Send a message by the best host that the gate lets it use; others for that host fill the call."""
         fees = self.settings.zone_fees
         best: tuple[Destination, Host] | None = None
@@ -713,8 +724,8 @@
                     continue
                 fee = fees[host.zone] if host.zone < len(fees) and len(self.routes[m.dest]) > 1 else 0.0
                 sick = host.bad > SUSPECT and host.retry_at > self.now
-                crowded = self.is_crowded(dest)
-                if crowded and not crowded_too:
+                crowded = spare_crowded is not None and self.is_crowded(dest)
+                if crowded and spare_crowded:
                     continue
                 rank = (sick, crowded, 0.0 if crowded else fee, host.calls, host.last_sent)
                 if best is None or rank < best_rank:
