--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -700,7 +700,7 @@
             self.end(m, opens)
         ready.sort(key=lambda m: (-self.urgency(m), m.deadline, m.arrived))
         # Where slots are short, first those that will not wait at their destination.
-        short = len(self.calls) + len(ready) > SLOT_SHARE * self.settings.slots
+        short = len(self.calls) + len(ready) > self.settings.slots // 2
         for spare_crowded in (True, False) if short else (None,):
             for m in ready:
                 if len(self.calls) >= self.settings.slots:
