--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -19,6 +19,7 @@
 MOST_OPEN = 64  # commands of one connection without an answer: usual clients have one
 COMMAND_TIME = 2.0  # seconds for a connection's first command, or for any to come whole once it has begun
 IDLE_TIME = 2.0  # seconds without an open request after which a connection may make room for another
+SILENT_TIME = 0.1  # the same for one that has never asked: usual clients ask as soon as they have connected
 LINGER = 1.0  # seconds without a byte in which a client that is shut out may still read why
 LONGEST_LINGER = 5.0  # for one that goes on sending what nobody reads
 ACCEPTED_AT_ONCE = 16  # connections taken up before the loop looks at them: each is a descriptor already
@@ -150,7 +151,7 @@
             # Not an error: the request that is on its way has failed for good behind one.
             self._shut(lambda reply: reply.busy(0), "too many connections")
         else:
-            self.server.idle[self] = None
+            self.server.silent[self] = None
             self._expect_command()
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -222,7 +223,7 @@
             raise Rejected("a length is wrong")
         del self.raw[:len(written)]
         self._stop_timer()
-        self.server.idle.pop(self, None)
+        self.server.busy(self)
         reply = Reply(self)
         self.replies.append(reply)
         name = words[0].upper()
@@ -265,7 +266,7 @@
             self.closing = True
             self.raw.clear()
             self._stop_timer()
-            self.server.idle.pop(self, None)
+            self.server.busy(self)
             self.server.lingering[self] = None
             reply = Reply(self)
             self.replies.append(reply)
@@ -307,7 +308,7 @@
         if self.between_requests and self.transport is not None:
             self.closing = True
             self._stop_timer()
-            self.server.idle.pop(self, None)
+            self.server.busy(self)
             self.transport.close()
 
 
@@ -321,6 +322,7 @@
         self.more_room = more_room
         self.connections: set[Connection] = set()
         self.idle: dict[Connection, None] = {}  # without an open request, longest first
+        self.silent: dict[Connection, None] = {}  # the same, of those that have never asked
         self.lingering: dict[Connection, None] = {}  # told that they are shut out, longest first
         self.draining = False
         self.now: Callable[[], float] = asyncio.get_running_loop().time
@@ -353,25 +355,31 @@
         return False if self.room() > -ACCEPTED_AT_ONCE else None
 
     def close_longest_idle(self) -> bool:
-        """Make room: by one that is shut out and has been told, or by one that has had no request open for
-        long. Its client opens another when it needs one."""
+        """Make room: by one that is shut out and has been told, by one that never asked, or by one that has
+        had no request open for long. Its client opens another when it needs one."""
         for connection in self.lingering:
             if connection.transport is not None and self.now() >= connection.heard_at + LINGER / 4:
                 connection.transport.abort()
                 self.forget(connection)
                 return True
-        for connection in self.idle:
-            if self.now() < connection.heard_at + IDLE_TIME:
-                return False
-            if connection.between_requests:
-                connection.close_between_requests()
-                self.connections.discard(connection)
-                return True
+        for waiting, time in ((self.silent, SILENT_TIME), (self.idle, IDLE_TIME)):
+            for connection in waiting:
+                if self.now() < connection.heard_at + time:
+                    break
+                if connection.between_requests:
+                    connection.close_between_requests()
+                    self.connections.discard(connection)
+                    return True
         return False
 
+    def busy(self, connection: Connection) -> None:
+        """It does not make room for another."""
+        self.idle.pop(connection, None)
+        self.silent.pop(connection, None)
+
     def forget(self, connection: Connection) -> None:
         self.connections.discard(connection)
-        self.idle.pop(connection, None)
+        self.busy(connection)
         self.lingering.pop(connection, None)
 
     def complain(self, text: str) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -160,6 +160,22 @@
     assert await first.read() == b"PONG" and await others[1].ask("PING") == b"PONG"
 
 
+async def test_silent_connections_make_room_long_before_others(field: Field) -> None:
+    """Hundreds connected, said nothing and came again; for 2 s each they shut out all that had to ask."""
+    assert clients.SILENT_TIME < clients.IDLE_TIME
+    field.limits["sockets"] = 60
+    usual = await field.start()
+    assert await usual.ask("PING") == b"PONG"
+    relay = field.relays[0]
+    silent = [await Client.connect(field.port) for _ in range(relay._client_room())]
+    await until(lambda: relay._client_room() == 0)
+    first = next(iter(relay.server.silent))
+    await until(lambda: relay.server.now() > first.heard_at + clients.SILENT_TIME)
+    late = await Client.connect(field.port)
+    assert await late.ask("PING") == b"PONG" and await silent[0].read() is None
+    assert await usual.ask("PING") == b"PONG"
+
+
 async def test_longest_idle_host_connection_makes_room(field: Field) -> None:
     """The longest idle of all hosts, for a client or for another host."""
     other = HttpServer()
