--- a/garnetrelay/clients.py
+++ b/garnetrelay/clients.py
@@ -149,7 +149,7 @@
             transport.abort()
         elif not admitted:
             # Not an error: the request that is on its way has failed for good behind one.
-            self._shut(lambda reply: reply.busy(0), "too many connections")
+            self._shut(lambda reply: reply.busy(0), f"too many connections: {self.server.counts}")
         else:
             self.server.silent[self] = None
             self._expect_command()
@@ -372,6 +372,12 @@
                     return True
         return False
 
+    @property
+    def counts(self) -> str:
+        """Who holds the descriptors, for the log."""
+        return (f"{len(self.connections)}, of them {len(self.idle)} idle, {len(self.silent)} have never "
+                f"asked, {len(self.lingering)} are shut out")
+
     def busy(self, connection: Connection) -> None:
         """It does not make room for another."""
         self.idle.pop(connection, None)
