Operators' calls: health, figures, hosts taken out by hand and kept across restarts

Change: garnetrelay/operators (words, front, figures, exclusions, service), loaded only where RELAY_OPS or 'ops' is set; counts of ends in the core; the Pacer keeps hosts out by hand whatever the list says and meets them as cold.

--- a/garnetrelay/__main__.py
+++ b/garnetrelay/__main__.py
@@ -21,6 +21,7 @@
     try:
         relay.reconfigure(reload(os.environ))
     except ConfigError as error:
+        relay.counts.reloads_failed += 1
         log.error("the old configuration stays: %s", error)
 
 
--- a/garnetrelay/config/deployment.py
+++ b/garnetrelay/config/deployment.py
@@ -18,6 +18,7 @@
 # new, discovery and notices, old and new as they move (16); clients accepted ahead of a look at them, and as
 # many that are told that there is no room (32).
 RESERVED = 48
+OPERATORS = 10  # more where staff may call: a listener, their calls, and some that wait to be told no
 
 
 class ConfigError(ValueError):
@@ -60,12 +61,13 @@
     load_reports: bool
     known: Any
     settings: io.Settings
+    operators: Address | None = None  # where staff call; None: nowhere
     machine_durable: bool = False  # what is promised outlasts the machine's power, not only the process
 
     @property
     def shared_sockets(self) -> int:
         """Descriptors for clients and hosts together."""
-        return max(8, self.sockets - RESERVED)
+        return max(8, self.sockets - RESERVED - (OPERATORS if self.operators is not None else 0))
 
     @property
     def client_sockets(self) -> int:
@@ -121,7 +123,9 @@
     settings = parse_settings(facts)
     # The protocol carries one message in a call, whatever the simulator's kinds allow.
     kinds = tuple(dataclasses.replace(kind, per_call=1) for kind in settings.kinds)
+    operators = environment.get("RELAY_OPS") or raw.get("ops")
     config = Config(
+        operators=Address.parse(operators) if operators else None,
         name=str(environment.get("RELAY_NAME") or raw["name"]),
         listen=Address.parse(environment.get("RELAY_LISTEN") or raw["listen"]),
         discovery=Address.parse(environment.get("RELAY_DISCOVERY") or raw["discovery"]),
--- a/garnetrelay/delivery/http/hosts.py
+++ b/garnetrelay/delivery/http/hosts.py
@@ -41,10 +41,12 @@
     """One call or probe: ``prepare`` gives its request at the last instant, or None to abandon it. Where some time
     may pass between that and its first byte, ``still_clear`` looks once more."""
 
-    __slots__ = ("host", "stop_at", "prepare", "still_clear", "_done", "ended", "connection", "opening", "timer")
+    __slots__ = ("host", "stop_at", "prepare", "still_clear", "_done", "ended", "connection", "opening", "timer",
+                 "ref")
 
     def __init__(self, host: str, stop_at: int, prepare: Prepare, done: Callable[[Outcome], None],
-                 still_clear: Callable[[], bool] = always) -> None:
+                 still_clear: Callable[[], bool] = always, ref: str | None = None) -> None:
+        self.ref = ref  # of the message that it calls with; None: a probe
         self.still_clear = still_clear
         self.host = host
         self.stop_at = stop_at
@@ -144,6 +146,8 @@
         self.reader.begin()
         assert self.transport is not None
         self.transport.write(request)
+        if exchange.ref is not None:  # hosts read at full speed: what is not written at once is a moment later
+            self.pool.calls_written += 1
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None:
@@ -228,6 +232,7 @@
         self.idle: dict[str, deque[Connection]] = {}
         self.resting: dict[Connection, None] = {}  # all that are idle, longest first
         self.opening: set[asyncio.Task[None]] = set()
+        self.calls_written = 0  # since the start of the process
         self._gathered: list[Ready] | None = None
         self._retiring: asyncio.TimerHandle | None = None
 
--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -230,7 +230,7 @@
             if name == b"ENQUEUE":
                 request = parse_enqueue(words)
                 request.patience_ms -= self._unread_ms()
-                if len(self.replies) > MOST_OPEN or request.patience_ms <= 0:
+                if len(self.replies) > MOST_OPEN:
                     reply.busy(0)
                 else:
                     self.server.handler(request, reply)
--- /dev/null
+++ b/garnetrelay/operators/calls.py
@@ -0,0 +1,58 @@
+"""The words that staff call with, and their answers. No I/O: a line in, lines out.
+
+A connection carries one line. What can't be understood is answered with the reason, never with silence.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Protocol
+
+MOST_LINE = 512  # bytes: the longest call is a word and a host's name
+NAME = re.compile("[!-~]{1,200}")
+
+
+class Refused(Exception):
+    """A call that is answered with ``-ERR`` and this text."""
+
+
+class Service(Protocol):
+    """What a relay does for staff. Each may raise Refused."""
+
+    def health(self) -> None:
+        """Returns if this process can serve."""
+        ...
+
+    def figures(self) -> str:
+        """The figures, a line each."""
+        ...
+
+    def exclude(self, host: str, out: bool) -> None:
+        """Take a host out, or put it back; returns once that is kept and in force."""
+        ...
+
+
+def answer(service: Service, line: bytes) -> bytes:
+    """What a call is answered with."""
+    try:
+        return _answer(service, line)
+    except Refused as refused:
+        return b"-ERR " + " ".join(str(refused).split()).encode("ascii", "replace")[:200] + b"\n"
+
+
+def _answer(service: Service, line: bytes) -> bytes:
+    words = line.decode("ascii", "replace").split()
+    match words:
+        case ["HEALTH"]:
+            service.health()
+            return b"+OK\n"
+        case ["DUMP"]:
+            return b"+OK\n" + service.figures().encode("ascii") + b".\n"
+        case [("OFFLINE" | "ONLINE") as word, name] if NAME.fullmatch(name):
+            service.exclude(name, word == "OFFLINE")
+            return b"+OK\n"
+        case ["OFFLINE" | "ONLINE" as word, *_]:
+            raise Refused(f"{word} takes the name of one host")
+        case []:
+            raise Refused("an empty line")
+    raise Refused(f"unknown call '{words[0][:40]}'; there are HEALTH, DUMP, OFFLINE ID, ONLINE ID")
--- /dev/null
+++ b/garnetrelay/operators/front.py
@@ -0,0 +1,99 @@
+"""The listener that staff call: one line a connection, one answer, however busy the relay is.
+
+Callers that say nothing hold a place for a bounded time, and give it up to the next as soon as places are short.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import cast
+
+from garnetrelay.operators.calls import MOST_LINE, Service, answer
+from garnetrelay.config.deployment import Address
+
+log = logging.getLogger(__name__)
+
+MOST_CALLERS = 6
+LINE_TIME = 3.0  # seconds for the whole line
+ANSWER_TIME = 2.0  # seconds for a caller to read its answer
+
+
+class Caller(asyncio.Protocol):
+    """One connection."""
+
+    def __init__(self, front: Front) -> None:
+        self.front = front
+        self.line = bytearray()
+        self.answered = False
+        self.transport: asyncio.Transport | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.front.took(self)
+        self.timer = asyncio.get_running_loop().call_later(LINE_TIME, self.end, b"-ERR no whole line in time\n")
+
+    def data_received(self, data: bytes) -> None:
+        if self.answered:
+            return
+        self.line += data[:MOST_LINE + 1 - len(self.line)]
+        line, newline, _ = self.line.partition(b"\n")
+        if newline:
+            self.end(answer(self.front.service, bytes(line)))
+        elif len(self.line) > MOST_LINE:
+            self.end(b"-ERR the line is too long\n")
+
+    def eof_received(self) -> bool:
+        if not self.answered:  # a last line may come without its end
+            self.end(answer(self.front.service, bytes(self.line)))
+        return True
+
+    def end(self, data: bytes) -> None:
+        """Answer, and close once that is written; a caller that does not read it is cut off."""
+        self.answered = True
+        self._stop_timer()
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.transport.write(data)
+        self.transport.close()
+        self.timer = asyncio.get_running_loop().call_later(ANSWER_TIME, self.transport.abort)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._stop_timer()
+        self.front.callers.pop(self, None)
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+
+class Front:
+    """Listens where staff call."""
+
+    def __init__(self, service: Service) -> None:
+        self.service = service
+        self.callers: dict[Caller, None] = {}  # longest first
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: Address) -> int:
+        """Listen; the port that came of it. OSError where that can't be."""
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: Caller(self), address.host, address.port, backlog=16, reuse_port=True)
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def took(self, caller: Caller) -> None:
+        """A caller has come: the one that has been silent for the longest gives way where places are short."""
+        self.callers[caller] = None
+        if len(self.callers) > MOST_CALLERS:
+            oldest = next(iter(self.callers))
+            oldest.end(b"-ERR too many callers\n")
+            del self.callers[oldest]
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for caller in list(self.callers):
+            if caller.transport is not None:
+                caller.transport.abort()
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -18,6 +18,7 @@
 from garnetrelay.delivery.http.answers import Outcome
 from garnetrelay.fronts.resp.server import Rejected, Reply, Request, Server
 from garnetrelay.config.deployment import Address, Config
+from garnetrelay.counts import Counts
 from garnetrelay.membership.register import Discovery, News, Reader
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
@@ -27,6 +28,7 @@
 from starlingwick.control import MAY_HAVE_RUN, Pacer
 
 if TYPE_CHECKING:
+    from garnetrelay.operators.service import Operators
     from garnetrelay.store.durability import Syncing
 
 log = logging.getLogger(__name__)
@@ -36,6 +38,7 @@
 STOP_AFTER = 3 * SECOND  # from SIGTERM to our end: SIGKILL comes no sooner than after 3.7 s
 TEND_PAUSE = 0.005  # seconds between two steps of compaction while no turn comes
 BROKEN_PAUSE = 0.25  # seconds until a folder that takes no records is tried again
+MOST_GONE = 4096  # hosts that have left the list and are still known by name
 DRAIN_AFTER = 0.6  # seconds after SIGTERM: new connections come for up to 0.4 s
 
 
@@ -44,6 +47,7 @@
     """A message in our hands, until its end is told and its last attempt has an outcome."""
 
     ref: str
+    klass: str
     key: str | None
     body: bytes
     ends_at: int  # monotonic clock, nanoseconds: an answer behind that is none
@@ -71,7 +75,10 @@
         self.pacer = Pacer(config.settings, config.seed)
         self.journal = Store.open(config.state, config.disk_bytes, config.machine_durable)
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
-        self.zones: dict[str, int] = {}  # by host
+        self.zones: dict[str, int] = {}  # by host that is listed
+        self.gone: dict[str, None] = {}  # hosts that were listed, the latest last
+        self.counts = Counts(config.class_names)
+        self.operators: Operators | None = None
         self.dests: set[int] = set()  # all that the list has ever named
         self.held: dict[str, Held] = {}
         self.newcomers: dict[str, Newcomer] = {}
@@ -85,6 +92,7 @@
         self.closed = False
         self.tending: asyncio.TimerHandle | None = None
         self.syncing: Syncing | None = None
+        self.serving = False
         self.stopping = False
         self.finished = asyncio.Event()
         # Clients and hosts share the descriptors: each may have what the other does not use of its own part.
@@ -113,16 +121,24 @@
         if self.config.machine_durable:
             from garnetrelay.store.durability import Syncing  # a thread: only where it is wanted
             self.syncing = Syncing(self.journal)
+        if self.config.operators is not None:
+            from garnetrelay.operators.service import Operators  # only where staff may call
+            self.operators = Operators(self)
+            await self.operators.start(self.config.operators)
+            self.inbox += self.operators.excluded()
         self._read_known()
         self._recover()
         self._turn()
         if self.settings.discovery is io.Discovery.AUTOMATIC:
             self.discovery.subscribe()  # the Pacer asks only where changes do not come by themselves
-        return await self.server.start(self.config.listen.host, self.config.listen.port)
+        address = await self.server.start(self.config.listen.host, self.config.listen.port)
+        self.serving = True
+        return address
 
     def reconfigure(self, config: Config) -> None:
         """SIGHUP: go on with what can change in a running relay, the address of discovery. The list that we
         have stays in force until the new address brings its own."""
+        self.counts.reloads_ok += 1
         if config.discovery == self.config.discovery:
             log.info("configuration read again: discovery stays at %s", config.discovery)
             return
@@ -153,6 +169,9 @@
 
     def close(self) -> None:
         self.closed = True
+        self.serving = False
+        if self.operators is not None:
+            self.operators.close()
         for timer in (self.alarm, self.tending):
             if timer is not None:
                 timer.cancel()
@@ -185,7 +204,7 @@
                 self._end(entry.ref, "dead", 0)
             else:
                 ends_at = time.monotonic_ns() + (entry.deadline - now_ms) * MS
-                self.held[entry.ref] = Held(entry.ref, entry.key, entry.body, ends_at, entry.attempts)
+                self.held[entry.ref] = Held(entry.ref, entry.klass, entry.key, entry.body, ends_at, entry.attempts)
                 self.inbox.append(self._recovered(entry, now_ms))
         if self.journal.entries:
             log.info("picked up %d messages and %d notices", len(self.held), len(self.ends))
@@ -221,6 +240,10 @@
             raise Rejected("'k' is missing")  # without its key no host could drop a repeat
         if request.patience_ms * MS > 2 * klass.deadline:
             raise Rejected("'d' is far over the class's deadline")
+        if request.patience_ms <= 0:  # it has lain unread for as long as it might be delivered
+            self.counts.refused[request.klass] += 1
+            reply.busy(0)
+            return
         if request.ref in self.held or request.ref in self.journal.entries:
             reply.ok()  # it is taken on already; its end may still be on its way to the platform
             return
@@ -248,6 +271,13 @@
         scope = io.ListScope.WHOLE if news.whole else io.ListScope.CHANGES
         self._post(io.Roster(scope, news.entries))
 
+    def exclude(self, host: str, out: bool) -> None:
+        """Staff took a host out, or put it back: no call begins before the Pacer has heard of it."""
+        log.info("%s is %s by hand", host, "out" if out else "back")
+        if out:
+            self.hosts.close_idle(host)
+        self._post(io.Excluded(host, out))
+
     def _place(self, news: News) -> None:
         """Where each host listens now. Connections to those that drain or went are closed."""
         named = {entry.host for entry in news.entries}
@@ -257,11 +287,15 @@
                 gone.append(entry.host)
                 continue
             self.zones[entry.host] = entry.zone
+            self.gone.pop(entry.host, None)
             self.dests.add(entry.dest)
             draining = entry.availability is io.Availability.STOPPING
             self.hosts.place(entry.host, news.addresses[entry.host], draining)
         for host in gone:
-            self.zones.pop(host, None)
+            if self.zones.pop(host, None) is not None:
+                self.gone[host] = None
+                if len(self.gone) > MOST_GONE:
+                    del self.gone[next(iter(self.gone))]
             self.hosts.remove(host)
 
     def _post(self, event: io.Event) -> None:
@@ -340,12 +374,13 @@
                 continue
             # Others of this turn may have taken the room that there was when it came.
             if not newcomer.reply.wanted or not self.journal.has_room(ref, request.key, len(request.body)):
+                self.counts.refused[request.klass] += 1
                 newcomer.reply.busy(0)
                 self._post(io.Withdrawn(ref))
                 continue
             self.journal.taken(
                 Entry(ref, request.klass, request.dest, request.key, newcomer.deadline, request.body))
-            self.held[ref] = Held(ref, request.key, request.body, newcomer.ends_at)
+            self.held[ref] = Held(ref, request.klass, request.key, request.body, newcomer.ends_at)
             noted.append(newcomer)
         return noted
 
@@ -357,6 +392,7 @@
             return
         self.held.pop(ref, None)
         self.journal.ended(ref, None)
+        self.counts.refused[newcomer.request.klass] += 1
         newcomer.reply.busy(0)
         self._post(io.Withdrawn(ref))
 
@@ -367,12 +403,14 @@
             case io.Refuse(ref, hold_off):
                 newcomer = self.newcomers.get(ref)
                 if newcomer is not None:
+                    self.counts.refused[newcomer.request.klass] += 1
                     newcomer.reply.busy(hold_off // MS)
                 else:
                     self._end(ref, "bounced", hold_off // MS)
             case io.Fail(ref):
                 newcomer = self.newcomers.get(ref)
                 if newcomer is not None:
+                    self.counts.failed[newcomer.request.klass] += 1
                     newcomer.reply.error("failed")
                 else:
                     self._end(ref, "dead", 0)
@@ -445,7 +483,7 @@
             now = time.monotonic_ns()
             return now < send.stop_at and self.pacer.clear_to_send(now, send.call, send.host)
 
-        message.exchange = net.Exchange(send.host, send.stop_at, prepare, done, still_clear)
+        message.exchange = net.Exchange(send.host, send.stop_at, prepare, done, still_clear, send.call)
         self.hosts.begin(message.exchange)
 
     def _probe(self, probe: io.Probe) -> None:
@@ -482,6 +520,9 @@
         if message.over:
             return
         message.over = True
+        by_class = self.counts.served if result is None else (
+            self.counts.failed if result == "dead" else self.counts.refused)
+        by_class[message.klass] += 1
         self.journal.ended(message.ref, result, wait_ms)
         if result is not None:
             self.ends.append((message.ref, result, wait_ms))
--- a/garnetrelay/store/storage.py
+++ b/garnetrelay/store/storage.py
@@ -136,3 +136,19 @@
 
     def remove(self, name: str) -> None:
         (self.path / name).unlink()
+
+    def replace(self, name: str, data: bytes, sync: bool) -> None:
+        """Put a whole file in another's place: at no moment does half of it stand under that name. OSError leaves
+        the old one as it was."""
+        spare = self.path / f"{name}.new"
+        spare.unlink(missing_ok=True)  # what a stop left half written
+        handle = self.create(spare.name)
+        try:
+            self.append(handle, data)
+            if sync:
+                os.fsync(handle)
+        finally:
+            os.close(handle)
+        os.rename(spare, self.path / name)
+        if sync:
+            self.sync_names()
--- a/garnetrelay/store/store.py
+++ b/garnetrelay/store/store.py
@@ -26,7 +26,8 @@
 log = logging.getLogger(__name__)
 
 SUFFIX = ".seg"
-RESERVE = 8 * 512  # of the disk, for what the folder holds besides: the lock, and blocks begun
+BEGUN = 4 * 512  # of the disk, for blocks begun
+RESERVE = 16 * 512  # the same with all that the folder holds besides: the lock, the hosts out by hand, old and new
 LEAST_DISK = 40_000
 
 OnRecord = Callable[[bool], None]
@@ -283,7 +284,7 @@
     def _append(self, data: bytes) -> bool:
         """Write to the active segment, or say that it can't be done."""
         active = self._active
-        if self._handle is None or self.used + len(data) > self.sizes.most + RESERVE // 2:
+        if self._handle is None or self.used + len(data) > self.sizes.most + BEGUN:
             self._fail("no room" if self._handle is not None else "no segment")
             return False
         try:
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -21,8 +21,8 @@
 
 from starlingwick.hold import NEVER, Due, Key, Lane, Queue, Ranking
 from starlingwick.interface import (
-    Action, Alarm, Arrived, Availability, Cancel, Close, Decay, Discovery, Event, Fail, HostEntry, Lagging,
-    ListScope, Log, MessageClass, Probe, Probed, Recovered, Refuse, Repeat, Report, Roster, Scope, Send,
+    Action, Alarm, Arrived, Availability, Cancel, Close, Decay, Discovery, Event, Excluded, Fail, HostEntry,
+    Lagging, ListScope, Log, MessageClass, Probe, Probed, Recovered, Refuse, Repeat, Report, Roster, Scope, Send,
     Settings, Status, Stopping, Subscribe, Verdict, Wake, Withdrawn,
 )
 
@@ -73,6 +73,7 @@
     name: str
     zone: int
     usable: bool = True
+    listed: Availability = Availability.RUNNING
     calls: int = 0
     probing: bool = False
     last_sent: int = 0
@@ -190,6 +191,7 @@
         self.expiry: list[tuple[int, str]] = []
         self.routes: dict[int, list[Destination]] = {}  # by destination number
         self.hosts: dict[str, tuple[Destination, Host]] = {}
+        self.excluded: set[str] = set()  # hosts that staff took out by hand, listed or not
         self.freed: list[Host] = []  # hosts whose call ended this turn
         self.calls: dict[Call, None] = {}  # out, oldest first: each holds a slot
         self.tenant_due = [0] * len(settings.tenant_rates)  # when the next message is within the share
@@ -233,6 +235,8 @@
                     self.on_roster(event)
                 case Probed():
                     self.on_probed(event)
+                case Excluded():
+                    self.on_excluded(event)
                 case Alarm():  # a coarser clock may bring it a moment early: it is spent all the same
                     if event.token == self.alarm:
                         self.alarm_at = NEVER
@@ -290,10 +294,29 @@
             routes[-1].hosts.append(self.hosts[entry.host][1])
         dest, host = self.hosts[entry.host]
         self.touch(dest.number)
-        host.usable = entry.availability is Availability.RUNNING
+        host.usable = entry.availability is Availability.RUNNING and entry.host not in self.excluded
+        host.listed = entry.availability
         if self.settings.listed_rates and not dest.listed and LEAST_LIMIT <= entry.rate <= MOST_LIMIT:
             dest.agreed = dest.listed = entry.rate
 
+    def on_excluded(self, event: Excluded) -> None:
+        """By hand a host drains until the call that puts it back. It was restarted meanwhile and is cold: so is
+        all that is paced with it, unless others there served on."""
+        (self.excluded.add if event.out else self.excluded.discard)(event.host)
+        if event.host not in self.hosts:
+            return
+        dest, host = self.hosts[event.host]
+        was, host.usable = host.usable, host.listed is Availability.RUNNING and not event.out
+        if host.usable and not was and not any(one.usable for one in dest.hosts if one is not host):
+            self.size_up(dest, self.now)
+            dest.ramp_from = self.now
+            dest.next_at = self.next_cold(dest, self.now, self.random.random())
+        self.touch(dest.number)
+
+    def avoided(self) -> int:
+        """How many listed hosts get no ordinary work now: they drain, by the list or by hand, or are out."""
+        return sum(not host.usable or dest.out or host.bad > OUT for dest, host in self.hosts.values())
+
     def forget(self, name: str) -> None:
         """A host that is gone; its calls run on. A route goes with its last host: memory stays bounded."""
         if name in self.hosts:
--- a/starlingwick/interface.py
+++ b/starlingwick/interface.py
@@ -293,7 +293,15 @@
     lag: int
 
 
-Event = Roster | Arrived | Recovered | Stopping | Withdrawn | Verdict | Probed | Alarm | Lagging
+@dataclass(slots=True)
+class Excluded:
+    """Staff took a host out by hand, or put it back: it drains for so long, whatever the list says."""
+
+    host: str
+    out: bool
+
+
+Event = Roster | Arrived | Recovered | Stopping | Withdrawn | Verdict | Probed | Alarm | Lagging | Excluded
 
 
 @dataclass(slots=True)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -71,6 +71,7 @@
         self.relays: list[Relay] = []
         self.port = 0
         self.options = ""
+        self.operators = False
 
     async def prepare(self) -> None:
         await self.host.start()
@@ -84,7 +85,8 @@
             "limits": self.limits, "settings": self.facts,
             "known": {"index": 41, "snapshot": True, "endpoints": self.endpoints},
         }))
-        return {"RELAY_CONFIG": str(path), "RELAY_STATE": str(self.state), "RELAY_OPTIONS": self.options}
+        return {"RELAY_CONFIG": str(path), "RELAY_STATE": str(self.state), "RELAY_OPTIONS": self.options,
+                "RELAY_OPS": "127.0.0.1:0" if self.operators else ""}
 
     def config(self) -> Config:
         return load(self.environment())
