--- a/garnetrelay/__main__.py
+++ b/garnetrelay/__main__.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 import os
 import resource
 import signal
 import sys
+from typing import TYPE_CHECKING
 
 from garnetrelay.config.deployment import Config, ConfigError, load, reload
 from garnetrelay.relay import Relay
 from garnetrelay.store.store import StoreError
 
+if TYPE_CHECKING:
+    from garnetrelay.upgrade.take import Inheritance
+
 log = logging.getLogger("garnetrelay")
 
 
@@ -25,9 +30,21 @@
         log.error("the old configuration stays: %s", error)
 
 
+def inherit(config: Config) -> tuple[Config, Inheritance | None]:
+    """What another process that serves from this folder hands to this one, where staff may upgrade a relay."""
+    if config.operators is None:
+        return config, None
+    from garnetrelay.upgrade import take  # only where it may be
+    inheritance = take.ask(config.state)
+    if inheritance is None:
+        return config, None
+    moved = take.discovery(inheritance.state.discovery, config.discovery, reload(os.environ).discovery)
+    return dataclasses.replace(config, discovery=moved), inheritance
+
+
 async def serve(config: Config, early: list[int]) -> None:
     """Run until a signal has ended the relay. ``early`` holds the SIGHUPs that came before."""
-    relay = Relay(config)
+    relay = Relay(*inherit(config))
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, relay.stop)
--- a/garnetrelay/delivery/http/hosts.py
+++ b/garnetrelay/delivery/http/hosts.py
@@ -15,6 +15,7 @@
 import functools
 import logging
 import select
+import socket
 import time
 from collections import deque
 from collections.abc import Callable
@@ -66,6 +67,12 @@
             self.timer.cancel()
         self._done(outcome)
 
+    def abandon(self) -> None:
+        """Its connection has not come up, and is not wanted any more: it never ran, and says nothing of its host."""
+        if self.opening is not None:
+            self.opening.cancel()
+        self.end(Outcome(io.Status.ABANDONED))
+
     def give_up(self, status: io.Status) -> None:
         """Stop waiting: the connection closes with it. What was not written in full never ran."""
         if self.ended:
@@ -136,6 +143,24 @@
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
         return not poll.poll(0)
 
+    @property
+    def can_pass(self) -> bool:
+        """Whether another process can read on from here: all is written, and nothing of an answer has come."""
+        return (self.written_in_full() and not self.at_end and not self.reader.received
+                and self.transport is not None and not self.transport.is_closing())
+
+    @property
+    def descriptor(self) -> int:
+        assert self.transport is not None
+        return int(self.transport.get_extra_info("socket").fileno())
+
+    def let_go(self) -> None:
+        """Another process has the connection: close it here without a word, also to whoever waits for an answer."""
+        exchange = self.exchange
+        self.abort()
+        if exchange is not None and exchange.timer is not None:
+            exchange.timer.cancel()
+
     def written_in_full(self) -> bool:
         return self.transport is not None and self.transport.get_write_buffer_size() == 0
 
@@ -289,6 +314,23 @@
         self.opening.add(task)
         task.add_done_callback(self._opened)
 
+    def passing(self) -> list[Connection]:
+        """Idle connections that are good."""
+        return [connection for connection in self.resting if connection.usable]
+
+    async def adopt(self, found: socket.socket, host: str, address: Address, used: bool,
+                    exchange: Exchange | None) -> None:
+        """A connection that passed from another process, idle or with a call out."""
+        loop = asyncio.get_running_loop()
+        connection = Connection(self, host, address)
+        connection.used, connection.exchange = used, exchange
+        if exchange is not None:
+            exchange.connection = connection
+            exchange.timer = loop.call_at(exchange.stop_at / SECOND, exchange.give_up, io.Status.TIMEOUT)
+        await loop.create_connection(lambda: connection, sock=found)
+        if exchange is None:
+            self.rest(connection)
+
     async def _connect(self, exchange: Exchange, address: Address) -> None:
         loop = asyncio.get_running_loop()
         try:
--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import os
 import re
 import select
 import socket
@@ -128,8 +129,10 @@
 class Connection(asyncio.Protocol):
     """One client's connection."""
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: Server, passed: tuple[bytes, bool] | None = None) -> None:
         self.server = server
+        self.passed = passed  # from another process: what had come of a command, and whether it has ever asked
+        self.asked = passed is not None and passed[1]
         self.reader = hiredis.Reader(protocolError=Rejected, replyError=Rejected)
         self.raw = bytearray()  # of a command that has not come whole
         self.replies: deque[Reply] = deque()
@@ -142,6 +145,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.heard_at = self.server.now()
+        if self.passed is not None:
+            self._go_on(*self.passed)
+            return
         admitted = self.server.admit()
         self.server.connections.add(self)
         if admitted is None:
@@ -153,6 +159,34 @@
             self.server.silent[self] = None
             self._expect_command()
 
+    def _go_on(self, raw: bytes, asked: bool) -> None:
+        """Where the other process left it: it was admitted there."""
+        self.server.connections.add(self)
+        (self.server.idle if asked else self.server.silent)[self] = None
+        if raw or not asked:
+            self._expect_command()
+        if raw:
+            self.data_received(raw)
+
+    @property
+    def can_pass(self) -> bool:
+        """Whether another process can read on from here: no answer is owed or on its way."""
+        return (not self.closing and not self.replies and self.transport is not None
+                and not self.transport.is_closing() and not self.transport.get_write_buffer_size())
+
+    @property
+    def descriptor(self) -> int:
+        assert self.transport is not None
+        return int(self.transport.get_extra_info("socket").fileno())
+
+    def let_go(self) -> None:
+        """Another process has the connection: close it here without a word."""
+        self.closing = True
+        self._stop_timer()
+        self.server.forget(self)
+        if self.transport is not None:
+            self.transport.abort()
+
     def connection_lost(self, error: Exception | None) -> None:
         self.lost = True
         self._stop_timer()
@@ -222,6 +256,7 @@
             raise Rejected("a length is wrong")
         del self.raw[:len(written)]
         self._stop_timer()
+        self.asked = True
         self.server.busy(self)
         reply = Reply(self)
         self.replies.append(reply)
@@ -339,11 +374,39 @@
         self._unsaid = 0
         self._server: asyncio.Server | None = None
 
-    async def start(self, host: str, port: int) -> tuple[str, int]:
-        """Listen; the address that came of it."""
+    async def start(self, host: str, port: int, shared: bool = False) -> tuple[str, int]:
+        """Listen; the address that came of it. ``shared``: another process may listen there too."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: Connection(self), host, port, backlog=ACCEPTED_AT_ONCE)
+            lambda: Connection(self), host, port, backlog=ACCEPTED_AT_ONCE, reuse_port=shared or None)
+        return self._listening()
+
+    async def listen(self, found: socket.socket) -> tuple[str, int]:
+        """The same on a listener that is there."""
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: Connection(self), sock=found, backlog=ACCEPTED_AT_ONCE)
+        return self._listening()
+
+    def stop_listening(self) -> socket.socket:
+        """Take up no more connections; the listener, on which they go on coming."""
+        assert self._server is not None
+        found = socket.socket(fileno=os.dup(self._server.sockets[0].fileno()))
+        self._server.close()
+        return found
+
+    def passing(self) -> list[Connection]:
+        """Connections that can pass to another process. Others close once what is owed there is written."""
+        for connection in list(self.connections):
+            if not connection.can_pass:
+                connection.close_between_requests()
+        return [connection for connection in self.connections if connection.can_pass]
+
+    async def adopt(self, found: socket.socket, raw: bytes, asked: bool) -> None:
+        """A connection that passed from another process."""
+        await asyncio.get_running_loop().connect_accepted_socket(lambda: Connection(self, (raw, asked)), found)
+
+    def _listening(self) -> tuple[str, int]:
+        assert self._server is not None
         with self._server.sockets[0].dup() as listening:
             listening.listen(512)  # more may wait than are taken up at once
         name = self._server.sockets[0].getsockname()
--- a/garnetrelay/operators/service.py
+++ b/garnetrelay/operators/service.py
@@ -9,6 +9,7 @@
 from garnetrelay.operators.calls import Refused
 from garnetrelay.operators.exclusions import Exclusions
 from garnetrelay.operators.front import Front
+from garnetrelay.upgrade.protocol import Owner
 from starlingwick import interface as io
 
 if TYPE_CHECKING:
@@ -39,7 +40,7 @@
     # ---- the calls
 
     def health(self) -> None:
-        if not self.relay.serving:
+        if not self.relay.serving:  # a relay that has passed to a new process serves on there
             raise Refused("it does not serve yet")
         if self.relay.server.draining:
             raise Refused("it is stopping")
@@ -47,12 +48,17 @@
     def figures(self) -> str:
         relay = self.relay
         in_flight = sum(not message.over for message in relay.held.values())
-        return figures.text(relay.counts, relay.hosts.calls_written, in_flight, len(relay.zones),
+        return figures.text(relay.counts, relay.hosts.calls_written, in_flight, len(relay.listed),
                             relay.pacer.avoided())
 
     def exclude(self, host: str, out: bool) -> None:
         relay = self.relay
-        if host not in relay.zones and host not in relay.gone and host not in self.exclusions.names:
+        if relay.giver is not None and relay.giver.state.owner is Owner.NEW:
+            error = relay.giver.exclude(host, out)
+            if error:
+                raise Refused(error)
+            return
+        if host not in relay.listed and host not in relay.gone and host not in self.exclusions.names:
             raise Refused(f"no host {host} was ever listed")
         if self.exclusions.put(host, out):
             relay.exclude(host, out)
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -30,6 +30,9 @@
 if TYPE_CHECKING:
     from garnetrelay.operators.service import Operators
     from garnetrelay.store.durability import Syncing
+    from garnetrelay.upgrade.give import Giver
+    from garnetrelay.upgrade.protocol import State
+    from garnetrelay.upgrade.take import Hearing, Inheritance
 
 log = logging.getLogger(__name__)
 
@@ -54,6 +57,8 @@
     attempts: int = 0
     exchange: net.Exchange | None = None
     over: bool = False
+    sent_at: int = 0  # of the last attempt, monotonic clock
+    zone: int = -1  # the same: its host's
 
 
 @dataclass(slots=True)
@@ -66,19 +71,69 @@
     ends_at: int  # the same by the monotonic clock, nanoseconds
 
 
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One call with a message: what goes on record of it, and what the Pacer hears."""
+
+    relay: Relay
+    message: Held
+    host: str
+    number: int
+    started: int  # monotonic clock, as is the next
+    stop_at: int
+    written: bool = False  # it is on record
+
+    def exchange(self) -> net.Exchange:
+        return net.Exchange(self.host, self.stop_at, self.prepare, self.done, self.still_clear, self.message.ref)
+
+    def prepare(self, address: Address) -> bytes | None:
+        """The last look and the record, then the request."""
+        if not self.still_clear():
+            return None
+        message, zones = self.message, self.relay.config.zone_names
+        name = zones[message.zone] if 0 <= message.zone < len(zones) else ""
+        self.written = self.relay.journal.trying(message.ref, name, time.time_ns() // MS)
+        return net.call(address, message.ref, message.key, message.body, self.stop_at) if self.written else None
+
+    def still_clear(self) -> bool:
+        now = time.monotonic_ns()
+        return now < self.stop_at and self.relay.pacer.clear_to_send(now, self.message.ref, self.host)
+
+    def done(self, outcome: Outcome) -> None:
+        relay, message = self.relay, self.message
+        message.exchange = None
+        log.debug("attempt %s %d at %s: %s", message.ref, self.number, self.host, outcome)
+        # The loop reads sockets before it looks at timers: an answer may lie there behind its time.
+        # Nobody waits for that any more, and the client is still owed an end.
+        finished = outcome.finished and time.monotonic_ns() < message.ends_at
+        if finished:
+            relay.finish(message, None, 0)  # its end settles the attempt too
+        elif self.written:
+            relay.journal.outcome(message.ref, outcome.status in MAY_HAVE_RUN or outcome.status is io.Status.OK)
+        if message.over:
+            relay.held.pop(message.ref, None)
+        relay.post(io.Verdict(
+            message.ref, self.number, self.host, outcome.status, time.monotonic_ns() - self.started,
+            finished, outcome.wait, outcome.no_slot, outcome.report))
+
+
 class Relay:
     """One relay, from its start to its end."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, inheritance: Inheritance | None = None) -> None:
         self.config = config
+        self.inheritance = inheritance
         self.settings = config.settings
         self.pacer = Pacer(config.settings, config.seed)
-        self.journal = Store.open(config.state, config.disk_bytes, config.machine_durable)
+        self.journal = Store.open(config.state, config.disk_bytes, config.machine_durable,
+                                  None if inheritance is None else inheritance.claim)
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
-        self.zones: dict[str, int] = {}  # by host that is listed
+        self.listed: dict[str, io.HostEntry] = {}  # by host
         self.gone: dict[str, None] = {}  # hosts that were listed, the latest last
         self.counts = Counts(config.class_names)
         self.operators: Operators | None = None
+        self.giver: Giver | None = None
+        self.hearing: Hearing | None = None
         self.dests: set[int] = set()  # all that the list has ever named
         self.held: dict[str, Held] = {}
         self.newcomers: dict[str, Newcomer] = {}
@@ -126,13 +181,28 @@
             self.operators = Operators(self)
             await self.operators.start(self.config.operators)
             self.inbox += self.operators.excluded()
-        self._read_known()
+        if self.inheritance is None:
+            self._read_known()
+        else:
+            self._inherit(self.inheritance.state)
         self._recover()
-        self._turn()
+        self.turn()
         if self.settings.discovery is io.Discovery.AUTOMATIC:
             self.discovery.subscribe()  # the Pacer asks only where changes do not come by themselves
-        address = await self.server.start(self.config.listen.host, self.config.listen.port)
+        listen = self.config.listen
+        if self.inheritance is None:
+            address = await self.server.start(listen.host, listen.port, self.config.operators is not None)
+        else:
+            address = await self._adopt(self.inheritance)
         self.serving = True
+        if self.config.operators is not None:
+            from garnetrelay.upgrade.give import Giver  # staff may upgrade it
+            self.giver = Giver(self)
+        if self.inheritance is not None:
+            from garnetrelay.upgrade.take import Hearing
+            self.inheritance.taken()
+            self.hearing = Hearing(self.inheritance.channel, self._exclude_as_told)
+            self.inheritance = None
         return address
 
     def reconfigure(self, config: Config) -> None:
@@ -149,12 +219,16 @@
 
     def stop(self) -> None:
         """SIGTERM: serve on while new connections come, then end calls, then ourselves."""
-        if self.stopping:
+        if self.closed:  # the relay has passed to a new process
+            self.finished.set()
+        if self.stopping or self.closed:
             return
         self.stopping = True
+        if self.hearing is not None:
+            self.hearing.bye()
         log.info("stopping: %d messages held", len(self.held))
         at = time.monotonic_ns() + STOP_AFTER
-        self._post(io.Stopping(at))
+        self.post(io.Stopping(at))
         loop = asyncio.get_running_loop()
         loop.call_later(DRAIN_AFTER, self._drain)
         loop.call_at(at / SECOND, self.finished.set)
@@ -167,11 +241,9 @@
         if self.server.draining and not (self.held or self.notices.queue or self.unreleased):
             self.finished.set()
 
-    def close(self) -> None:
+    def retire(self) -> None:
+        """Decide and tell nothing any more: the relay passes to a new process."""
         self.closed = True
-        self.serving = False
-        if self.operators is not None:
-            self.operators.close()
         for timer in (self.alarm, self.tending):
             if timer is not None:
                 timer.cancel()
@@ -179,6 +251,13 @@
             self.syncing.close()
         self.discovery.close()
         self.notices.close()
+
+    def close(self) -> None:
+        self.retire()
+        if self.operators is not None:
+            self.operators.close()
+        if self.giver is not None:
+            self.giver.close()
         self.hosts.close()
         self.journal.close()
 
@@ -194,6 +273,47 @@
         self._place(news)
         self.inbox.append(io.Roster(io.ListScope.CACHED, news.entries))
 
+    def _inherit(self, state: State) -> None:
+        """The list as the process before had it, and what it knew."""
+        from starlingwick.memory import restore
+        entries, addresses = [], {}
+        for e in state.endpoints:
+            entries.append(io.HostEntry(e.name, e.zone, e.kind, e.dest, io.Availability(e.availability), e.rate))
+            addresses[e.name] = Address(e.host, e.port)
+        self.gone = dict.fromkeys(state.gone)
+        self.discovery.index = state.index
+        news = News(state.index, True, tuple(entries), addresses)
+        self._place(news)
+        self.inbox.append(io.Roster(io.ListScope.CACHED, news.entries))
+        self.turn()
+        restore(self.pacer, state.memory)
+
+    async def _adopt(self, inheritance: Inheritance) -> tuple[str, int]:
+        """Connections and the listener, as the process before left them."""
+        for call, found in inheritance.calls.values():
+            message = self.held.get(call.ref)
+            if message is None:
+                found.close()
+                continue
+            attempt = Attempt(self, message, call.name, message.attempts - 1, call.started, call.stop_at, True)
+            message.exchange, message.sent_at, message.zone = attempt.exchange(), call.started, call.zone
+            await self.hosts.adopt(found, call.name, Address(call.host, call.port), call.used, message.exchange)
+        for idle, found in inheritance.idle:
+            await self.hosts.adopt(found, idle.name, Address(idle.host, idle.port), True, None)
+        for client, found in inheritance.clients:
+            await self.server.adopt(found, client.raw, client.asked)
+        return await self.server.listen(inheritance.listener)
+
+    def _exclude_as_told(self, host: str, out: bool) -> str:
+        """Staff called the process before; why it can't be done, or nothing."""
+        from garnetrelay.operators.calls import Refused
+        assert self.operators is not None
+        try:
+            self.operators.exclude(host, out)
+        except Refused as refused:
+            return str(refused)
+        return ""
+
     def _recover(self) -> None:
         now_ms = time.time_ns() // MS
         for entry in list(self.journal.entries.values()):
@@ -210,7 +330,9 @@
             log.info("picked up %d messages and %d notices", len(self.held), len(self.ends))
 
     def _recovered(self, entry: Entry, now_ms: int) -> io.Recovered:
-        if entry.ran_at is None and entry.trying_at is not None:  # no outcome came: it may have run
+        passed = None if self.inheritance is None else self.inheritance.calls.get(entry.ref)
+        out = None if passed is None else passed[0]  # its attempt is out still
+        if out is None and entry.ran_at is None and entry.trying_at is not None:  # no outcome came: it may have run
             entry.ran_at, entry.ran_zone = entry.trying_at, entry.trying_zone
         ran_ago = None if entry.ran_at is None else max(0, now_ms - entry.ran_at) * MS
         if entry.uncertain:  # an attempt may be missing: no window and no building is sure
@@ -224,7 +346,9 @@
             patience=(entry.deadline - now_ms) * MS,
             attempts=entry.attempts,
             ran_ago=ran_ago,
-            ran_zone=zones.index(entry.ran_zone) if entry.ran_zone in zones else -1,
+            ran_zone=zones.index(entry.ran_zone) if entry.ran_zone in zones else -1 if out is None else out.zone,
+            host=None if out is None else out.name,
+            sent_at=0 if out is None else out.started,
         )
 
     # ---- events in
@@ -253,7 +377,7 @@
         deadline = time.time_ns() // MS + request.patience_ms
         ends_at = time.monotonic_ns() + request.patience_ms * MS
         self.newcomers[request.ref] = Newcomer(request, reply, deadline, ends_at)
-        self._post(io.Arrived(
+        self.post(io.Arrived(
             call=request.ref,
             tenant=0,
             klass=self.class_numbers[request.klass],
@@ -265,46 +389,46 @@
 
     def on_news(self, news: News | None) -> None:
         if news is None:
-            self._post(io.Roster(io.ListScope.FAILED, ()))
+            self.post(io.Roster(io.ListScope.FAILED, ()))
             return
         self._place(news)
         scope = io.ListScope.WHOLE if news.whole else io.ListScope.CHANGES
-        self._post(io.Roster(scope, news.entries))
+        self.post(io.Roster(scope, news.entries))
 
     def exclude(self, host: str, out: bool) -> None:
         """Staff took a host out, or put it back: no call begins before the Pacer has heard of it."""
         log.info("%s is %s by hand", host, "out" if out else "back")
         if out:
             self.hosts.close_idle(host)
-        self._post(io.Excluded(host, out))
+        self.post(io.Excluded(host, out))
 
     def _place(self, news: News) -> None:
         """Where each host listens now. Connections to those that drain or went are closed."""
         named = {entry.host for entry in news.entries}
-        gone = [host for host in self.zones if host not in named] if news.whole else []
+        gone = [host for host in self.listed if host not in named] if news.whole else []
         for entry in news.entries:
             if entry.availability is io.Availability.DELETED:
                 gone.append(entry.host)
                 continue
-            self.zones[entry.host] = entry.zone
+            self.listed[entry.host] = entry
             self.gone.pop(entry.host, None)
             self.dests.add(entry.dest)
             draining = entry.availability is io.Availability.STOPPING
             self.hosts.place(entry.host, news.addresses[entry.host], draining)
         for host in gone:
-            if self.zones.pop(host, None) is not None:
+            if self.listed.pop(host, None) is not None:
                 self.gone[host] = None
                 if len(self.gone) > MOST_GONE:
                     del self.gone[next(iter(self.gone))]
             self.hosts.remove(host)
 
-    def _post(self, event: io.Event) -> None:
+    def post(self, event: io.Event) -> None:
         """One batch holds all that is ready: the turn runs when the loop has read what lies there."""
         self.inbox.append(event)
         if not self.turn_due:
             self.turn_due = True
             self.lag.round_begins(time.monotonic_ns())
-            asyncio.get_running_loop().call_soon(self._turn)
+            asyncio.get_running_loop().call_soon(self.turn)
 
     def _flush_soon(self) -> None:
         """See that what was noted outside a turn is written soon; nothing waits for it."""
@@ -318,10 +442,12 @@
 
     # ---- a turn
 
-    def _turn(self) -> None:
+    def turn(self) -> None:
         """Decide on all that has come, put it on record by one write, and only then let anything out: what is
         owed by the clock first, then answers to clients, then calls."""
         self.turn_due = False
+        if self.closed:
+            return
         events, self.inbox = self.inbox, []
         now = time.monotonic_ns()
         if self.lag.news(now):
@@ -356,6 +482,8 @@
 
     def _tend(self) -> None:
         """A small step of compaction, and another soon where there is more to do."""
+        if self.closed:
+            return
         self.journal.tend()
         if self.journal.busy and self.tending is None:
             pause = BROKEN_PAUSE if self.journal.broken else TEND_PAUSE
@@ -376,7 +504,7 @@
             if not newcomer.reply.wanted or not self.journal.has_room(ref, request.key, len(request.body)):
                 self.counts.refused[request.klass] += 1
                 newcomer.reply.busy(0)
-                self._post(io.Withdrawn(ref))
+                self.post(io.Withdrawn(ref))
                 continue
             self.journal.taken(
                 Entry(ref, request.klass, request.dest, request.key, newcomer.deadline, request.body))
@@ -394,7 +522,7 @@
         self.journal.ended(ref, None)
         self.counts.refused[newcomer.request.klass] += 1
         newcomer.reply.busy(0)
-        self._post(io.Withdrawn(ref))
+        self.post(io.Withdrawn(ref))
 
     def _carry_out(self, action: io.Action) -> None:
         match action:
@@ -437,53 +565,20 @@
 
     def _ring(self, at: int, token: int) -> None:
         self.lag.was_late(at, time.monotonic_ns())
-        self._post(io.Alarm(token))
+        self.post(io.Alarm(token))
 
     # ---- attempts
 
     def _send(self, send: io.Send) -> None:
         message = self.held.get(send.call)
         if message is None:  # it was not taken on after all: the Pacer hears of that too
-            self._post(io.Verdict(send.call, 0, send.host, io.Status.ABANDONED, 0, True, 0, False, None))
+            self.post(io.Verdict(send.call, 0, send.host, io.Status.ABANDONED, 0, True, 0, False, None))
             return
-        started, attempt, zone = self.pacer.now, message.attempts, self.zones.get(send.host, -1)
-        zones = self.config.zone_names
+        entry = self.listed.get(send.host)
+        message.sent_at, message.zone = self.pacer.now, -1 if entry is None else entry.zone
+        attempt = Attempt(self, message, send.host, message.attempts, self.pacer.now, send.stop_at)
         message.attempts += 1
-        written = False
-
-        def prepare(address: Address) -> bytes | None:
-            nonlocal written
-            now = time.monotonic_ns()
-            if now >= send.stop_at or not self.pacer.clear_to_send(now, send.call, send.host):
-                return None
-            name = zones[zone] if 0 <= zone < len(zones) else ""
-            written = self.journal.trying(send.call, name, time.time_ns() // MS)
-            if not written:
-                return None
-            return net.call(address, message.ref, message.key, message.body, send.stop_at)
-
-        def done(outcome: Outcome) -> None:
-            message.exchange = None
-            log.debug("attempt %s %d at %s: %s", send.call, attempt, send.host, outcome)
-            # The loop reads sockets before it looks at timers: an answer may lie there behind its time.
-            # Nobody waits for that any more, and the client is still owed an end.
-            finished = outcome.finished and time.monotonic_ns() < message.ends_at
-            if finished:
-                self._finish(message, None, 0)  # its end settles the attempt too
-            elif written:
-                ran = outcome.status in MAY_HAVE_RUN or outcome.status is io.Status.OK
-                self.journal.outcome(send.call, ran)
-            if message.over:
-                self.held.pop(message.ref, None)
-            self._post(io.Verdict(
-                send.call, attempt, send.host, outcome.status, time.monotonic_ns() - started,
-                finished, outcome.wait, outcome.no_slot, outcome.report))
-
-        def still_clear() -> bool:
-            now = time.monotonic_ns()
-            return now < send.stop_at and self.pacer.clear_to_send(now, send.call, send.host)
-
-        message.exchange = net.Exchange(send.host, send.stop_at, prepare, done, still_clear, send.call)
+        message.exchange = attempt.exchange()
         self.hosts.begin(message.exchange)
 
     def _probe(self, probe: io.Probe) -> None:
@@ -495,7 +590,7 @@
             return net.probe(address, self.config.load_reports)
 
         def done(outcome: Outcome) -> None:
-            self._post(io.Probed(probe.host, outcome.status, time.monotonic_ns() - started, outcome.report))
+            self.post(io.Probed(probe.host, outcome.status, time.monotonic_ns() - started, outcome.report))
 
         self.hosts.begin(net.Exchange(probe.host, probe.stop_at, prepare, done))
 
@@ -509,14 +604,14 @@
     def _end(self, ref: str, result: str, wait_ms: int) -> None:
         message = self.held.get(ref)
         if message is not None:
-            self._finish(message, result, wait_ms)
+            self.finish(message, result, wait_ms)
             if message.exchange is None:
                 del self.held[ref]
         elif ref in self.journal.entries:
             self.journal.ended(ref, result, wait_ms)
             self.ends.append((ref, result, wait_ms))
 
-    def _finish(self, message: Held, result: str | None, wait_ms: int) -> None:
+    def finish(self, message: Held, result: str | None, wait_ms: int) -> None:
         if message.over:
             return
         message.over = True
--- a/garnetrelay/store/storage.py
+++ b/garnetrelay/store/storage.py
@@ -90,6 +90,16 @@
                 self._lock = lock
                 return
 
+    def adopt(self, claim: int) -> None:
+        """Take the folder with a claim that another process has handed over."""
+        self._lock = claim
+
+    def surrender(self) -> int:
+        """The claim, for another process: this one has none any more."""
+        assert self._lock is not None
+        claim, self._lock = self._lock, None
+        return claim
+
     def release(self) -> None:
         if self._lock is not None:
             os.close(self._lock)
--- a/garnetrelay/store/store.py
+++ b/garnetrelay/store/store.py
@@ -101,10 +101,13 @@
         self._load()
 
     @classmethod
-    def open(cls, folder: Path, disk_bytes: int, machine: bool = False) -> Store:
-        """The store of a folder, claimed for this process."""
+    def open(cls, folder: Path, disk_bytes: int, machine: bool = False, claim: int | None = None) -> Store:
+        """The store of a folder, claimed for this process unless a claim was handed to it."""
         door = Folder(folder)
-        door.claim()
+        if claim is None:
+            door.claim()
+        else:
+            door.adopt(claim)
         try:
             return cls(door, disk_bytes, machine)
         except BaseException:
@@ -123,16 +126,31 @@
             return self._used
         return self._used - blocks(self._active.size) + blocks(self._active.size + len(self._pending))
 
+    def settle(self) -> bool:
+        """Put on record all that was noted, on disk too where that counts; whether that came about."""
+        if self.flush():
+            self._sync_all()
+        return not self.broken and not self.failed
+
+    def hand_over(self) -> int:
+        """Settled before, it writes nothing any more: the claim on the folder, for another process."""
+        self._end()
+        assert isinstance(self.storage, Folder)
+        return self.storage.surrender()
+
     def close(self) -> None:
         """Put on record what is pending, and let the folder go."""
+        self._end()
+        if isinstance(self.storage, Folder):
+            self.storage.release()
+
+    def _end(self) -> None:
         if self.flush() and self._handle is not None:
             self._append(fmt.seal(self._active.records))  # what is missing behind it is missing, not torn
             self._sync_all()
         for handle in (*self._retired, *(() if self._handle is None else (self._handle,))):
             self._close(handle)
         self._retired, self._handle = [], None
-        if isinstance(self.storage, Folder):
-            self.storage.release()
 
     # ---- what happens to a message
 
--- /dev/null
+++ b/garnetrelay/upgrade/give.py
@@ -0,0 +1,301 @@
+"""The old process's side: hands the relay over at one moment, then answers staff until it is ended."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import socket
+import sys
+import time
+from collections.abc import Iterable, Iterator
+from typing import TYPE_CHECKING, TypeVar
+
+from garnetrelay.upgrade import protocol as p
+from garnetrelay.upgrade.channel import Channel, ChannelError, Door
+from starlingwick import interface as io
+from starlingwick.hold import NEVER
+from starlingwick.memory import remember
+
+if TYPE_CHECKING:
+    from garnetrelay.delivery.http import hosts as net
+    from garnetrelay.fronts.resp import server as front
+    from garnetrelay.relay import Held, Relay
+
+log = logging.getLogger(__name__)
+
+HELLO_TIME = 1.0  # seconds for the first frame of whoever connects
+QUIET_TIME = 0.1  # seconds for answers that have come in part to come whole
+STEP = 0.005
+TAKEN_TIME = 6.0  # seconds from the last frame until the new process must serve
+STAFF_TIME = 10.0  # seconds that this process goes on answering staff behind that
+BATCH = 32  # connections in a frame: so many are open on both sides at most
+
+T = TypeVar("T")
+
+
+def start_anew() -> None:
+    """Begin this very process again, as it was begun: its descriptors close with it, the folder has the rest."""
+    logging.shutdown()
+    os.execv(sys.executable, sys.orig_argv)
+
+
+class Giver:
+    """Waits for a new process, and gives it the relay."""
+
+    def __init__(self, relay: Relay) -> None:
+        self.relay = relay
+        self.loop = asyncio.get_running_loop()
+        self.state = p.Giving()
+        self.channel: Channel | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.start_anew = start_anew
+        self.door = Door(relay.config.state)
+        self.listener = self.door.listen()
+        self.loop.add_reader(self.listener, self._accept)
+
+    def close(self) -> None:
+        self.loop.remove_reader(self.listener)
+        self.door.close()
+        if self.task is not None:
+            self.task.cancel()
+
+    def _accept(self) -> None:
+        try:
+            connection, _ = self.listener.accept()
+        except OSError:
+            return
+        channel = Channel(connection)
+        if self.task is not None or channel.peer[1] != os.getuid():
+            channel.close()
+            return
+        self.task = self.loop.create_task(self._serve(channel))
+        self.task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.task = None
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log.error("upgrade failed", exc_info=error)
+            if self.state.owner is p.Owner.NEW:
+                self._follow(self.state.lost())
+
+    # ---- up to the freeze
+
+    async def _serve(self, channel: Channel) -> None:
+        try:
+            await self._readable(channel, HELLO_TIME)
+            frame, _ = channel.receive()
+            if not isinstance(frame, p.Hello):
+                raise ChannelError(f"{type(frame).__name__} in place of a hello")
+            why = self._unready()
+            if self.state.hello(frame.versions, not why) is p.Step.REFUSE:
+                channel.send(p.Refused(why or f"this process speaks version {p.VERSION} of the upgrade"))
+                channel.close()
+                return
+        except (ChannelError, TimeoutError) as error:
+            log.warning("upgrade: nothing came of it: %s", error)
+            channel.close()
+            return
+        log.info("upgrade: process %d takes over", channel.peer[0])
+        self.channel = channel
+        listener = await self._quieten()
+        if not self._settled():
+            self._resume()
+            channel.close()
+            self.channel = None
+            await self.relay.server.listen(listener)
+            return
+        step = self._give(channel, listener)
+        self._follow(step)
+        if step is p.Step.WAIT:
+            await self._attend(channel)
+
+    def _unready(self) -> str:
+        if self.relay.stopping or not self.relay.serving:
+            return "it is starting or stopping"
+        return "its folder takes no records" if self.relay.journal.broken else ""
+
+    async def _readable(self, channel: Channel, patience: float) -> None:
+        ready: asyncio.Future[None] = self.loop.create_future()
+
+        def wake() -> None:
+            if not ready.done():
+                ready.set_result(None)
+
+        self.loop.add_reader(channel.socket, wake)
+        try:
+            async with asyncio.timeout(patience):
+                await ready
+        finally:
+            self.loop.remove_reader(channel.socket)
+
+    async def _quieten(self) -> socket.socket:
+        """No call begins any more, and no connection is taken up: what is under way comes to where it can pass."""
+        relay = self.relay
+        relay.post(io.Stopping(time.monotonic_ns()))
+        listener = relay.server.stop_listening()
+        end = time.monotonic() + QUIET_TIME
+        await asyncio.sleep(0)
+        while self._unquiet() and time.monotonic() < end or relay.syncing is not None and relay.syncing.running:
+            await asyncio.sleep(STEP)
+        for _, exchange in list(_out(relay.held.values())):
+            if exchange.connection is None:
+                exchange.abandon()
+            elif not exchange.connection.can_pass:
+                exchange.give_up(io.Status.CANCELLED)
+        return listener
+
+    def _unquiet(self) -> bool:
+        relay = self.relay
+        return bool(relay.turn_due or relay.unreleased or relay.hosts.opening) or any(
+            exchange.connection is None or not exchange.connection.can_pass for _, exchange in _out(relay.held.values()))
+
+    def _settled(self) -> bool:
+        """The last turns; whether all that they decided is on record. From here on nothing waits for the loop."""
+        for _ in range(8):
+            self.relay.turn()
+            if not self.relay.inbox:
+                break
+        return not self.relay.inbox and self.relay.journal.settle()
+
+    def _resume(self) -> None:
+        log.error("upgrade: not now, the folder takes no records")
+        self.relay.post(io.Stopping(NEVER))
+
+    # ---- the freeze
+
+    def _give(self, channel: Channel, listener: socket.socket) -> p.Step:
+        relay = self.relay
+        step = self.state.given()
+        relay.retire()
+        claim = relay.journal.hand_over()
+        try:
+            channel.send(self._state(), [claim, listener.fileno()])
+            os.close(claim)
+            claim = -1
+            for clients in _batches(relay.server.passing()):
+                channel.send(p.Clients([p.Client(bytes(one.raw), one.asked) for one in clients]), _descriptors(clients))
+                for one in clients:
+                    one.let_go()
+            for idle in _batches(relay.hosts.passing()):
+                channel.send(p.IdleHosts([p.Idle(one.host, one.address.host, one.address.port) for one in idle]),
+                             _descriptors(idle))
+                for connection in idle:
+                    connection.let_go()
+            for calls in _batches(_passing(relay.held.values())):
+                connections = [connection for _, _, connection in calls]
+                channel.send(p.Calls([
+                    p.Out(message.ref, connection.host, connection.address.host, connection.address.port,
+                          message.zone, message.sent_at, exchange.stop_at, connection.used)
+                    for message, exchange, connection in calls]), _descriptors(connections))
+                for connection in connections:
+                    connection.let_go()
+            channel.send(p.End())
+        except ChannelError as error:
+            log.error("upgrade: broken off: %s", error)
+            step = self.state.lost()
+        finally:
+            if claim >= 0:
+                os.close(claim)
+            listener.close()
+        relay.hosts.close()  # what does not pass ends here
+        relay.held.clear()
+        return step
+
+    def _state(self) -> p.State:
+        relay = self.relay
+        endpoints = []
+        for name, entry in relay.listed.items():
+            address = relay.hosts.addresses[name]
+            endpoints.append(p.Endpoint(name, entry.zone, entry.kind, entry.dest, entry.availability.value, entry.rate,
+                                        address.host, address.port))
+        return p.State(relay.discovery.index, str(relay.config.discovery), endpoints, list(relay.gone),
+                       remember(relay.pacer))
+
+    # ---- behind it
+
+    async def _attend(self, channel: Channel) -> None:
+        """Until this process is ended: hear that the new one serves, or that it is gone."""
+        patience = TAKEN_TIME
+        while True:
+            try:
+                await self._readable(channel, patience)
+                if not channel.waiting():
+                    continue  # a call of staff has read it
+                self._hear(channel.receive()[0])
+            except TimeoutError:
+                self._follow(self.state.overdue())
+                return
+            except ChannelError as error:
+                log.warning("upgrade: the new process is gone: %s", error)
+                self._follow(self.state.lost())
+                return
+            if self.state.over:
+                self._follow(p.Step.END)
+                return
+            patience = STAFF_TIME
+
+    def _hear(self, frame: p.Frame) -> None:
+        if isinstance(frame, p.Taken):
+            self.state.on_taken()
+            log.info("upgrade: the new process serves")
+        elif isinstance(frame, p.Bye):
+            self.state.on_bye()
+        else:
+            raise ChannelError(f"{type(frame).__name__} out of turn")
+
+    def _follow(self, step: p.Step) -> None:
+        match step:
+            case p.Step.END:
+                self.relay.finished.set()
+            case p.Step.END_OTHER:
+                assert self.channel is not None
+                log.error("upgrade: the new process does not come to serve: it is ended")
+                try:
+                    os.kill(self.channel.peer[0], signal.SIGKILL)
+                    self.channel.receive()  # its end
+                except (ChannelError, ProcessLookupError):
+                    pass
+                self.start_anew()
+            case p.Step.START_ANEW:
+                log.error("upgrade: starting anew from the folder")
+                self.start_anew()
+            case _:
+                pass
+
+    def exclude(self, host: str, out: bool) -> str:
+        """Staff call this process, and the relay is the other's: pass it on; why it can't be done, or nothing."""
+        assert self.channel is not None
+        try:
+            self.channel.send(p.Exclude(host, out))
+            while True:
+                frame, _ = self.channel.receive()
+                if isinstance(frame, p.Done):
+                    return frame.error
+                self._hear(frame)
+        except ChannelError:
+            return "the new process does not answer"
+
+
+def _batches(found: Iterable[T]) -> Iterator[list[T]]:
+    every = list(found)
+    for start in range(0, len(every), BATCH):
+        yield every[start:start + BATCH]
+
+
+def _descriptors(connections: Iterable[front.Connection] | Iterable[net.Connection]) -> list[int]:
+    return [connection.descriptor for connection in connections]
+
+
+def _out(messages: Iterable[Held]) -> Iterator[tuple[Held, net.Exchange]]:
+    for message in list(messages):
+        if message.exchange is not None:
+            yield message, message.exchange
+
+
+def _passing(messages: Iterable[Held]) -> Iterator[tuple[Held, net.Exchange, net.Connection]]:
+    """Calls that pass. That of a message which has ended meanwhile is not waited for: its connection closes."""
+    for message, exchange in _out(messages):
+        if not message.over and exchange.connection is not None and exchange.connection.can_pass:
+            yield message, exchange, exchange.connection
--- /dev/null
+++ b/garnetrelay/upgrade/take.py
@@ -0,0 +1,139 @@
+"""The new process's side: asks for the relay, and takes up what comes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from garnetrelay.config.deployment import Address
+from garnetrelay.upgrade import protocol as p
+from garnetrelay.upgrade.channel import Channel, ChannelError, Door
+
+log = logging.getLogger(__name__)
+
+GIVE_TIME = 4.0  # seconds from our hello to the last frame
+
+
+@dataclass(slots=True)
+class Inheritance:
+    """A relay as it passed to this process."""
+
+    channel: Channel
+    state: p.State
+    claim: int
+    listener: socket.socket
+    clients: list[tuple[p.Client, socket.socket]] = field(default_factory=list)
+    idle: list[tuple[p.Idle, socket.socket]] = field(default_factory=list)
+    calls: dict[str, tuple[p.Out, socket.socket]] = field(default_factory=dict)
+
+    def taken(self) -> None:
+        """This process serves."""
+        try:
+            self.channel.send(p.Taken())
+        except ChannelError as error:  # it is gone already: nothing is owed to it
+            log.warning("upgrade: the old process does not hear: %s", error)
+
+    def discard(self) -> None:
+        """Let go of all: the other side died before it had sent everything."""
+        for connection in (self.listener, *(s for _, s in self.clients), *(s for _, s in self.idle),
+                           *(s for _, s in self.calls.values())):
+            connection.close()
+        os.close(self.claim)
+        self.channel.close()
+
+
+class Denied(Exception):
+    """The process that serves does not give the relay away."""
+
+
+def ask(folder: Path) -> Inheritance | None:
+    """The relay of the process that serves from a folder; None where none does, or where it dies of it: then a
+    start from the folder is right. Denied where it serves on."""
+    door = Door(folder)
+    try:
+        channel = door.call()
+    finally:
+        door.close()
+    if channel is None:
+        return None
+    found: Inheritance | None = None
+    try:
+        channel.send(p.Hello([p.VERSION]))
+        frame, descriptors = channel.receive(GIVE_TIME)
+        if isinstance(frame, p.Refused):
+            raise Denied(frame.why)
+        if not isinstance(frame, p.State) or len(descriptors) != 2:
+            raise ChannelError(f"{type(frame).__name__} in place of the state")
+        found = Inheritance(channel, frame, descriptors[0], socket.socket(fileno=descriptors[1]))
+        while not isinstance(frame, p.End):
+            frame, descriptors = channel.receive()
+            _take(found, frame, [socket.socket(fileno=descriptor) for descriptor in descriptors])
+        return found
+    except ChannelError as error:
+        log.warning("upgrade: starting from the folder: %s", error)
+        if found is not None:
+            found.discard()
+        else:
+            channel.close()
+        return None
+
+
+def _take(found: Inheritance, frame: p.Frame, sockets: list[socket.socket]) -> None:
+    match frame:
+        case p.Clients(clients):
+            found.clients += zip(clients, sockets, strict=True)
+        case p.IdleHosts(hosts):
+            found.idle += zip(hosts, sockets, strict=True)
+        case p.Calls(calls):
+            found.calls.update((call.ref, (call, connection))
+                               for call, connection in zip(calls, sockets, strict=True))
+        case p.End():
+            pass
+        case _:
+            raise ChannelError(f"{type(frame).__name__} in place of connections")
+
+
+class Hearing:
+    """What the old process still has to say: hosts that staff take out there."""
+
+    def __init__(self, channel: Channel, exclude: Callable[[str, bool], str]) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._channel: Channel | None = channel
+        self._exclude = exclude
+        self._loop.add_reader(channel.socket, self._read)
+
+    def _read(self) -> None:
+        channel = self._channel
+        if channel is None:
+            return
+        try:
+            frame, _ = channel.receive()
+            if isinstance(frame, p.Exclude):
+                channel.send(p.Done(self._exclude(frame.host, frame.out)))
+        except ChannelError:  # it has ended, as it is to
+            self._drop()
+
+    def bye(self) -> None:
+        """This process stops: its end is no failure."""
+        if self._channel is not None:
+            try:
+                self._channel.send(p.Bye())
+            except ChannelError:
+                pass
+            self._drop()
+
+    def _drop(self) -> None:
+        channel, self._channel = self._channel, None
+        if channel is not None:
+            self._loop.remove_reader(channel.socket)
+            channel.close()
+
+
+def discovery(told: str, configured: Address, in_file: Address) -> Address:
+    """Where to watch: a SIGHUP has moved the old process to what the file says; else what this start was told."""
+    return in_file if told == str(in_file) else configured
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -371,11 +371,22 @@
             self.turns.setdefault(m.key, deque()).append(m)
             if m.ran_at is not None:
                 self.turn_rest[m.key] = self.now + self.settings.rules.turn_gap
-        if self.is_spent(m):
+        if r.host is not None:
+            self.take_up(m, r.host, r.ran_zone, r.sent_at)
+        elif self.is_spent(m):
             self.end(m)
         else:
             self.enter(m)
 
+    def take_up(self, m: Message, name: str, zone: int, sent_at: int) -> None:
+        """A call that was sent before this Pacer was made: it holds its slot, also at a host that is gone."""
+        dest, host = self.hosts.get(name) or (Destination(m.dest, 1), Host(name, zone, usable=False))
+        m.call = call = Call(dest, host, sent_at, [m], open=1, beside=host.calls)
+        self.calls[call] = None
+        host.calls += 1
+        dest.calls.append(call)
+        self.blame_at = 0
+
     def enter(self, m: Message) -> None:
         """Into the hold. What may not go yet stands aside: on a timer, or behind another of its key."""
         lane = self.waiting.get(m.dest)
--- /dev/null
+++ b/starlingwick/memory.py
@@ -0,0 +1,61 @@
+"""What a Pacer knows of its destinations and hosts, as plain values, to be given to another Pacer. Decides nothing.
+
+Times are those of the clock that the Pacer was driven by: the other has to be driven by the same one. Values go by the
+names of their fields; what the other does not know by name is left out, what is missing stays as at a start.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+from starlingwick.control import Destination, Host, Pacer
+
+VERSION = 1
+
+DESTINATION = ("agreed", "listed", "reports", "ceiling", "ceiling_at", "cut_at", "next_call", "mean", "wait_until",
+               "rest", "rest_until", "pause_at", "refused_from", "bad", "bad_from", "bad_at", "out", "ramp_from",
+               "part", "next_at")
+MARKS = ("refusals", "sent", "arrived", "served")  # times, oldest first
+HOST = ("gap", "last_sent", "last_ok_sent", "bad", "most", "most_until", "retry_at")
+
+
+def remember(pacer: Pacer) -> dict[str, Any]:
+    """All that was learned, in values that any serialization carries."""
+    return {
+        "version": VERSION,
+        "started": pacer.started,
+        "tenant_due": list(pacer.tenant_due),
+        "turn_rest": dict(pacer.turn_rest),
+        "destinations": [
+            {**{name: getattr(dest, name) for name in DESTINATION},
+             **{name: list(getattr(dest, name)) for name in MARKS},
+             "hosts": {host.name: {name: getattr(host, name) for name in HOST} for host in dest.hosts}}
+            for routes in pacer.routes.values() for dest in routes if dest.hosts
+        ],
+    }
+
+
+def restore(pacer: Pacer, memory: dict[str, Any]) -> None:
+    """Take it up. The list of hosts must be known already: what is not on it is forgotten."""
+    if memory.get("version") != VERSION:
+        return
+    pacer.started = memory["started"]
+    due = memory["tenant_due"]
+    if len(due) == len(pacer.tenant_due):
+        pacer.tenant_due = list(due)
+    pacer.turn_rest.update(memory["turn_rest"])
+    for known in memory["destinations"]:
+        for name, values in known["hosts"].items():
+            if name in pacer.hosts:
+                dest, host = pacer.hosts[name]
+                _fill(dest, known, DESTINATION)
+                for marks in MARKS:
+                    setattr(dest, marks, deque(known.get(marks, ())))
+                _fill(host, values, HOST)
+
+
+def _fill(target: Destination | Host, values: dict[str, Any], names: tuple[str, ...]) -> None:
+    for name in names:
+        if name in values:
+            setattr(target, name, values[name])
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -504,7 +504,7 @@
     assert field.relays[0].journal.entries["m1"].attempts == 0 and field.host.calls.empty()
     net.begin = begin  # type: ignore[method-assign]
     pacer.hosts["s-1"][1].usable = True
-    field.relays[0]._post(io.Alarm(0))
+    field.relays[0].post(io.Alarm(0))
     (await field.host.next_call()).answer(200)
 
 
@@ -586,7 +586,7 @@
     relay.notices.link.post = written.append  # type: ignore[method-assign, assignment]
     relay.inbox.append(io.Withdrawn("none"))
     relay.held["m2"].exchange.give_up(io.Status.TIMEOUT)  # type: ignore[union-attr]
-    relay._turn()
+    relay.turn()
     assert len(written) == 1 and b'{"ref":"m2","result":"dead"}' in written[0]
 
 
--- /dev/null
+++ b/tests/upgrade/test_upgrade.py
@@ -0,0 +1,190 @@
+"""A relay passes to a new process while it serves: real processes over loopback, and the states by hand."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+
+import pytest
+import pytest_asyncio
+
+from garnetrelay.upgrade import protocol as p
+from garnetrelay.upgrade.channel import Channel, Door
+from starlingwick import interface as io
+from starlingwick.control import Pacer
+from starlingwick.memory import remember, restore
+from tests.helpers import S, settings
+from tests.sockets import Client, Field
+from tests.test_process import ROOT, Process
+
+
+class Upgraded(Process):
+    """A relay whose process is replaced beside the running one."""
+
+    def __init__(self, field: Field) -> None:
+        super().__init__(field)
+        field.operators = True
+        self.older: list[asyncio.subprocess.Process] = []
+
+    async def replace(self) -> None:
+        """Start a new process beside the running one, until it serves."""
+        assert self.child is not None
+        self.older.append(self.child)
+        self.child = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "garnetrelay", cwd=ROOT,
+            env={**os.environ, **self.field.environment(self.port)}, stderr=asyncio.subprocess.PIPE)
+        await self.says(b"serves on")
+
+    async def stop(self) -> None:
+        for child in (*self.older, *([] if self.child is None else [self.child])):
+            if child.returncode is None:
+                child.kill()
+                await child.wait()
+
+
+@pytest_asyncio.fixture
+async def relay(field: Field) -> AsyncIterator[Upgraded]:
+    made = Upgraded(field)
+    yield made
+    await made.stop()
+
+
+async def test_nobody_notices(field: Field, relay: Upgraded) -> None:
+    """Again and again: a payment is out, a command has come by half, a client stays on its connection."""
+    client = await relay.start()
+    for n in range(4):
+        assert await client.enqueue(f"pay{n}", "unsafe") == b"OK"
+        call = await field.host.next_call()
+        half = await Client.connect(relay.port)
+        assert await half.ask("PING") == b"PONG"
+        half.writer.write(b"*5\r\n$7\r\nENQUEUE\r\n$4\r\n0000\r\n")
+        await half.writer.drain()
+        await relay.replace()
+        call.answer(200)  # read by a process that did not ask
+        rest = f"$5\r\nhalf{n}\r\n$20\r\nc=safe,d=8000,dest=3\r\n$1\r\nx\r\n"
+        half.writer.write(rest.encode())
+        assert await half.read() == b"OK"
+        (await field.host.next_call()).answer(200)
+        assert await client.ask("PING") == b"PONG"  # on the connection that it had from the first process on
+        async with asyncio.timeout(20):
+            relay.older[-1].send_signal(signal.SIGTERM)
+            assert await relay.older[-1].wait() == 0
+    assert await relay.end(signal.SIGTERM) == 0
+    assert field.host.calls.empty() and field.platform.notices.empty()
+
+
+async def test_what_is_out_binds_the_new_process(field: Field, relay: Upgraded) -> None:
+    """An attempt that fails behind the upgrade is one that may have run, and its end is told once."""
+    client = await relay.start()
+    assert await client.enqueue("pay", "unsafe") == b"OK"
+    call = await field.host.next_call()
+    await relay.replace()
+    call.answer(500)
+    assert await field.platform.next_notice() == {"ref": "pay", "result": "dead"}
+    assert field.host.calls.empty()
+
+
+async def test_old_process_carries_on_when_the_new_one_dies(field: Field, relay: Upgraded) -> None:
+    """It is killed as soon as it serves: the old one starts anew from the folder, on its own."""
+    client = await relay.start()
+    old = relay.child
+    assert await client.enqueue("keyed", "keyed") == b"OK"
+    first = await field.host.next_call()
+    await relay.replace()
+    assert relay.child is not None
+    relay.child.kill()
+    await relay.child.wait()
+    relay.child = old
+    relay.older.clear()
+    await relay.says(b"serves on")
+    again = await field.host.next_call()
+    assert again.headers["x-request-id"] == first.headers["x-request-id"]
+    again.answer(200)
+    assert await (await Client.connect(relay.port)).ask("PING") == b"PONG"
+
+
+@pytest.mark.parametrize("after", ["connect", "hello", "state"])
+async def test_old_process_outlives_one_that_fails_on_the_way(
+        field: Field, relay: Upgraded, after: str) -> None:
+    """Whoever asks dies before the hello, right behind it, or with the relay in its hands."""
+    client = await relay.start()
+    assert await client.enqueue("safe") == b"OK"
+    await field.host.next_call()
+    door = Door(field.state)
+    channel = door.call()
+    door.close()
+    assert channel is not None
+    if after != "connect":
+        channel.send(p.Hello([p.VERSION]))
+    if after == "state":
+        frame, descriptors = channel.receive(20)
+        assert isinstance(frame, p.State)
+        for descriptor in descriptors:
+            os.close(descriptor)
+    channel.close()
+    if after == "connect":
+        await relay.says(b"nothing came of it")
+        assert await client.ask("PING") == b"PONG"
+        return
+    await relay.says(b"serves on")
+    (await field.host.next_call()).answer(200)  # safe to send again, and it is
+    assert await (await Client.connect(relay.port)).ask("PING") == b"PONG"
+
+
+async def test_another_version_is_refused(field: Field, relay: Upgraded) -> None:
+    client = await relay.start()
+    door = Door(field.state)
+    channel = door.call()
+    door.close()
+    assert channel is not None
+    channel.send(p.Hello([p.VERSION + 1]))
+    frame, _ = channel.receive()
+    assert isinstance(frame, p.Refused)
+    assert await client.ask("PING") == b"PONG"
+
+
+def test_channel_takes_nothing_on_trust() -> None:
+    ours, theirs = socket.socketpair()
+    for data in (p.HEAD.pack(1 << 31, 0), p.HEAD.pack(3, 0) + b"abc", p.HEAD.pack(1, 5) + b"x", b"\0\0"):
+        theirs.sendall(data)
+        if data == b"\0\0":
+            theirs.close()
+        with pytest.raises(OSError):
+            Channel(ours).receive()
+
+
+def test_each_state_says_who_owns_the_relay() -> None:
+    giving = p.Giving()
+    assert giving.hello([2], True) is giving.hello([1], False) is p.Step.REFUSE
+    assert giving.hello([1, 2], True) is p.Step.GIVE
+    assert giving.lost() is giving.overdue() is giving.stop() is p.Step.SERVE
+    assert giving.given() is p.Step.WAIT and giving.owner is p.Owner.NEW
+    assert giving.lost() is p.Step.START_ANEW and giving.overdue() is p.Step.END_OTHER
+    giving.on_taken()
+    assert giving.lost() is p.Step.START_ANEW and giving.overdue() is giving.stop() is p.Step.END
+    giving.on_bye()
+    assert giving.lost() is p.Step.END
+
+
+def test_waits_and_slots_pass_on() -> None:
+    """A told wait, and a call that is out, bind the next Pacer as if it had heard and sent them."""
+    entry = io.HostEntry("a", 0, 0, 1, io.Availability.RUNNING, 0.0)
+    roster = io.Roster(io.ListScope.CACHED, (entry,))
+    first = Pacer(settings(slots=2), 1)
+    first.handle(0, [roster, io.Arrived("told", 0, 0, 1, None, 20 * S)])
+    first.handle(S, [io.Verdict("told", 0, "a", io.Status.FULL, S, False, 5 * S, False, None)])
+    second = Pacer(settings(slots=2), 1)
+    second.handle(S, [roster])
+    restore(second, remember(first))
+    out = io.Recovered("out", 0, 1, None, 20 * S, 1, None, 0, "a", S)
+    sent = [a for a in second.handle(S, [out, io.Recovered("told", 0, 1, None, 19 * S, 1, None, -1)])
+            if isinstance(a, io.Send)]
+    assert not sent and len(second.calls) == 1
+    actions = second.handle(6 * S - 1, [io.Verdict("out", 0, "a", io.Status.OK, S, True, 0, False, None)])
+    assert not [a for a in actions if isinstance(a, io.Send)] and not second.calls
+    later = [a for n in range(40) for a in second.handle(6 * S + n * S // 10, []) if isinstance(a, io.Send)]
+    assert [a.call for a in later] == ["told"]
