--- a/garnetrelay/rehearsal/conductor.py
+++ b/garnetrelay/rehearsal/conductor.py
@@ -64,6 +64,7 @@
         self.partners = Partners(plan, self.observer, self._delivered)
         self.register = Register(plan, self.observer, self.partners.address, self.crowd.bounced)
         self.rude: list[Rude] = []
+        self._upgrading = {name: asyncio.Lock() for name in plan.relays}
         self._tasks: set[asyncio.Task[None]] = set()
         self._error: BaseException | None = None
         self.began = 0  # when the plan began, by the run's clock
@@ -161,6 +162,10 @@
             self._then(step, self._heal, step)
         elif spec.what in ("restart", "kill"):
             self._spawn(self._restart(step))
+        elif spec.what == "upgrade":
+            self._spawn(self._upgrade(step))
+        elif spec.what == "by-hand":
+            self._spawn(self._by_hand(step))
         elif spec.what == "reload":
             self._spawn(self._reload())
         elif spec.what == "register-down":
@@ -214,6 +219,26 @@
         await asyncio.sleep(step.spec.down_s)
         await self._start(relay)
 
+    async def _upgrade(self, step: Step) -> None:
+        relay = self.relays[step.relay]
+        async with self._upgrading[step.relay]:  # one that takes its time puts the next one off
+            await relay.upgrade(self.register.address(relay.name), step.fault, step.after / SECOND)
+
+    async def _by_hand(self, step: Step) -> None:
+        """Every relay is told that an endpoint is out; it is restarted, and comes back cold; then it is put back."""
+        route, number = step.routes[0], step.partners[0]
+        relays = [relay for relay in self.relays.values() if relay.ready]
+        said = [await relay.exclude(route, True) for relay in relays]
+        if not all(said):
+            raise StartError(f"no yes to OFFLINE {route}: {said}")
+        await asyncio.sleep(self.plan.settings["rules"]["drainGrace"] / SECOND + 0.5)
+        self.partners.strike_route(number, route)
+        await asyncio.sleep(step.spec.seconds)
+        self.partners.heal_route(number, route, step.spec.start, self.plan.settings["rules"]["rampTime"])
+        for relay in relays:
+            while not (relay.ready and await relay.exclude(route, False)):
+                await asyncio.sleep(0.1)
+
     async def _reload(self) -> None:
         """Each relay's register moves; its configuration says so, and SIGHUP tells it to look."""
         for relay in self.relays.values():
--- a/garnetrelay/rehearsal/events.py
+++ b/garnetrelay/rehearsal/events.py
@@ -65,6 +65,23 @@
     planned: bool
 
 
+class RelayPassed(Observed, frozen=True, gc=False, tag="relay-passed"):
+    """A relay has passed to a new process beside the old one, or was to: ``how`` it ended, ``well`` where the new one
+    said that it serves; ``began`` is when that was started. Both processes are one relay, and one life of it."""
+
+    relay: str
+    how: str
+    began: int
+
+
+class OutByHand(Observed, frozen=True, gc=False, tag="out-by-hand"):
+    """Staff have a relay's word that an endpoint is out, or are putting it back. No restart ends that."""
+
+    relay: str
+    route: str
+    out: bool
+
+
 class Starved(Observed, frozen=True, gc=False, tag="starved"):
     """How long a relay's process was ready to run and got no core, in all its lives together (nanoseconds)."""
 
@@ -220,9 +237,9 @@
 
 
 Event = (
-    World | RelayStarted | RelayReady | RelaySignalled | RelayEnded | Starved | DiskUsed | HandedIn | Answered
-    | Unanswered | CallCame | CallAnswered | CallEnded | Effect | ProbeCame | ConnectFailed | NoticeCame
-    | PlatformState | Told | OutageBegan | OutageOver | FellOver | Step | RunEnded)
+    World | RelayStarted | RelayReady | RelaySignalled | RelayEnded | RelayPassed | OutByHand | Starved | DiskUsed
+    | HandedIn | Answered | Unanswered | CallCame | CallAnswered | CallEnded | Effect | ProbeCame | ConnectFailed
+    | NoticeCame | PlatformState | Told | OutageBegan | OutageOver | FellOver | Step | RunEnded)
 
 
 def scope_of(route: Route) -> str:
--- a/garnetrelay/rehearsal/partners/endpoints.py
+++ b/garnetrelay/rehearsal/partners/endpoints.py
@@ -262,8 +262,21 @@
             now = self.observer.clock.now()
             self.observer.see(ev.OutageOver(now, now, name, scope.capacity, 1.0 if cold is None else cold, ramp))
 
-    def _abort(self, partner: Partner) -> None:
-        for route in partner.routes:
+    def strike_route(self, number: int, route: str) -> None:
+        """One route of a partner whose routes are apart is restarted: it is down until ``heal_route``."""
+        partner, now = self.partners[number], self.observer.clock.now()
+        partner.strike(now, route, Trouble("down", 1 << 62, 1.0, 1.0))
+        self.observer.see(ev.OutageBegan(now, now, route, "down"))
+        self._abort(partner, (route,))
+
+    def heal_route(self, number: int, route: str, cold: float, ramp: int) -> None:
+        """It is back, cold."""
+        partner, now = self.partners[number], self.observer.clock.now()
+        partner.heal(now, route, cold, ramp)
+        self.observer.see(ev.OutageOver(now, now, route, partner.scopes[route].capacity, cold, ramp))
+
+    def _abort(self, partner: Partner, routes: tuple[str, ...] = ()) -> None:
+        for route in routes or partner.routes:
             for door in self.doors[route].values():
                 for connection in list(door.connections):
                     connection.broken_off = True
--- a/garnetrelay/rehearsal/plan.py
+++ b/garnetrelay/rehearsal/plan.py
@@ -18,6 +18,7 @@
 
 MS = 1_000_000
 SECOND = 1_000_000_000
+LONGEST_KILL = 0.6  # seconds from a new process's start, within which one that is to fail is killed
 LEAST_SLOTS = 2
 LEAST_HELD = 12
 PROTOCOL_REPEAT = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
@@ -82,6 +83,8 @@
     partners: tuple[int, ...] = ()
     routes: tuple[str, ...] = ()
     relay: str = ""
+    fault: str = ""  # of an upgrade: what is wrong with the new process
+    after: int = 0  # when it is killed, from its start
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -98,6 +101,11 @@
     steps: tuple[Step, ...]
     late: tuple[int, int]
 
+    @property
+    def staffed(self) -> bool:
+        """Whether staff call the relays."""
+        return any(step.spec.what in ("upgrade", "by-hand") for step in self.steps)
+
     def digest(self) -> str:
         """A fingerprint: two plans that share it are the same schedule."""
         return hashlib.sha256(msgspec.json.encode(self)).hexdigest()[:16]
@@ -166,8 +174,10 @@
             pool = {"largest": by_size[:spec.count], "smallest": by_size[-spec.count:], "all": by_size}.get(spec.partners)
             picked = pool if pool is not None else draw.sample(by_size, min(spec.count, len(by_size)))
             chosen = tuple(partner.number for partner in picked)
-        if spec.what in ("drain", "replace"):
+        if spec.what in ("drain", "replace", "by-hand"):
             several = [partner for partner in partners if partner.route_count > 1] or list(partners)
+            if spec.what == "by-hand":  # an endpoint that goes alone: its limits and outages are its own
+                several = [partner for partner in partners if partner.apart]
             hit = draw.sample(several, min(spec.count, len(several)))
             for partner in hit:
                 made.append(Step(at, ends, spec, (partner.number,), (draw.choice(partner.routes).name,)))
@@ -180,6 +190,13 @@
             for place, name in enumerate(order):
                 shift = int(spec.every_s * place * SECOND) if spec.relays == "rolling" else 0
                 made.append(Step(at + shift, 0, spec, relay=name))
+        elif spec.what == "upgrade":
+            for turn in range(spec.rounds):
+                for place in range(relays if spec.relays != "one" else 1):
+                    shift = int(spec.every_s * (turn + (place / relays if spec.relays == "rolling" else 0)) * SECOND)
+                    fault = draw.choice(("config", "killed", "killed")) if draw.random() < spec.fails else ""
+                    made.append(Step(at + shift, 0, spec, relay=f"relay{place + 1}", fault=fault,
+                                     after=int(draw.uniform(0, LONGEST_KILL) * SECOND)))
         else:
             made.append(Step(at, ends, spec, chosen))
     return tuple(sorted(made, key=lambda step: step.at))
--- a/garnetrelay/rehearsal/relays.py
+++ b/garnetrelay/rehearsal/relays.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 
 from garnetrelay.rehearsal import events as ev
+from garnetrelay.rehearsal import staff
 from garnetrelay.rehearsal.observer import Observer
 from garnetrelay.rehearsal.plan import Plan
 
@@ -48,8 +49,9 @@
         self.ready = False
         self.process: asyncio.subprocess.Process | None = None
         self.planned = False  # its end is
-        self._waited = 0  # in earlier lives
-        self._waited_now = 0
+        self.staff_port = 0
+        self._waited: dict[int, int] = {}  # for a core, by process
+        self._expected: set[int] = set()  # processes whose end is no news: a new one has the relay
         self._watching: asyncio.Task[None] | None = None
 
     def move(self) -> None:
@@ -69,17 +71,10 @@
     async def start(self, discovery: str) -> None:
         """Start the process and wait until it answers."""
         self.planned, self.ready, self.life = False, False, self.life + 1
-        environment = {
-            **os.environ, "RELAY_NAME": self.name, "RELAY_LISTEN": f"127.0.0.1:{self.port}",
-            "RELAY_DISCOVERY": discovery, "RELAY_STATE": str(self.state),
-            "RELAY_CONFIG": str(self.folder / "config.json")}
         at, since = self.observer.did()
         self.observer.see(ev.RelayStarted(at, since, self.name, self.life))
-        limit = min(int(self.plan.limits["sockets"]), resource.getrlimit(resource.RLIMIT_NOFILE)[1])
-        with self.log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_shell(
-                f"ulimit -n {limit}; exec {self.command}", env=environment, stdin=asyncio.subprocess.DEVNULL,
-                stdout=log, stderr=log)
+        self.staff_port = _free_port() if self.plan.staffed else 0
+        self.process = await self._spawn(discovery, self.staff_port)
         self._watching = asyncio.get_running_loop().create_task(self._watch(self.process))
         async with asyncio.timeout(START_TIME):
             while not await self._answers():
@@ -90,6 +85,93 @@
         at, since = self.observer.read()
         self.observer.see(ev.RelayReady(at, since, self.name, self.life))
 
+    async def _spawn(self, discovery: str, staff_port: int, config: str = "config.json") -> asyncio.subprocess.Process:
+        environment = {
+            **os.environ, "RELAY_NAME": self.name, "RELAY_LISTEN": f"127.0.0.1:{self.port}",
+            "RELAY_DISCOVERY": discovery, "RELAY_STATE": str(self.state),
+            "RELAY_CONFIG": str(self.folder / config)}
+        if staff_port:
+            environment["RELAY_OPS"] = f"127.0.0.1:{staff_port}"
+        limit = min(int(self.plan.limits["sockets"]), resource.getrlimit(resource.RLIMIT_NOFILE)[1])
+        with self.log.open("ab") as log:
+            return await asyncio.create_subprocess_shell(
+                f"ulimit -n {limit}; exec {self.command}", env=environment, stdin=asyncio.subprocess.DEVNULL,
+                stdout=log, stderr=log)
+
+    # ---- upgrades
+
+    async def upgrade(self, discovery: str, fault: str, after: float) -> None:
+        """Start a new process beside the running one, as staff do. ``fault``: it can't read its configuration
+        (``config``), or is ``killed`` so many seconds after its start; else it must come to serve."""
+        old, watching = self.process, self._watching
+        if old is None or not self.ready:
+            return
+        began = self.observer.clock.now()
+        port = _free_port()
+        new = await self._spawn(discovery, port, "none.json" if fault == "config" else "config.json")
+        if fault == "config":
+            async with asyncio.timeout(START_TIME):
+                await new.wait()
+        elif fault == "killed":
+            await asyncio.sleep(after)
+            await self._cut_off(new)
+        else:
+            await self._hears_yes(new, port)
+            self._expected.add(old.pid)
+            self.process, self.staff_port = new, port
+            self._watching = asyncio.get_running_loop().create_task(self._watch(new))
+            await self._end_old(old)
+            if watching is not None:
+                await watching
+        at, since = self.observer.read()
+        self.observer.see(ev.RelayPassed(at, since, self.name, fault or "well", began))
+
+    async def _hears_yes(self, new: asyncio.subprocess.Process, port: int) -> None:
+        async with asyncio.timeout(START_TIME):
+            while not await staff.says_yes(port, "HEALTH"):
+                if new.returncode is not None:
+                    raise StartError(f"{self.name}: the new process ended with status {new.returncode}: {self.tail()}")
+                await asyncio.sleep(0.02)
+
+    async def _end_old(self, old: asyncio.subprocess.Process) -> None:
+        if old.returncode is None:
+            old.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(TERM_TIME):
+                await old.wait()
+        except TimeoutError:
+            old.kill()
+            await old.wait()
+
+    async def _cut_off(self, new: asyncio.subprocess.Process) -> None:
+        """Kill the new process, wherever it is. If it had the relay by then, that is the end of a life: the old
+        process begins another from the folder. From outside nobody can tell which, so it counts as one."""
+        at, since = self.observer.did()
+        self.observer.see(ev.RelaySignalled(at, since, self.name, "SIGKILL of the new process"))
+        self.life += 1
+        self.observer.see(ev.RelayStarted(at, since, self.name, self.life))
+        if new.returncode is None:
+            new.kill()
+        await new.wait()
+        async with asyncio.timeout(START_TIME):
+            while not (await self._answers() and await staff.says_yes(self.staff_port, "HEALTH")):
+                if self.process is None or self.process.returncode is not None:
+                    raise StartError(f"{self.name}: the old process did not carry on: {self.tail()}")
+                await asyncio.sleep(0.02)
+        at, since = self.observer.read()
+        self.observer.see(ev.RelayReady(at, since, self.name, self.life))
+
+    async def exclude(self, route: str, out: bool) -> bool:
+        """Staff take an endpoint out, or put it back; whether the relay said yes."""
+        if not out:
+            at, since = self.observer.did()
+            self.observer.see(ev.OutByHand(at, since, self.name, route, False))
+        said = await staff.says_yes(self.staff_port, f"{'OFFLINE' if out else 'ONLINE'} {route}")
+        if said and out:
+            at, since = self.observer.read()
+            self.observer.see(ev.OutByHand(at, since, self.name, route, True))
+        return said
+
     async def _answers(self) -> bool:
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -134,13 +216,12 @@
     async def _watch(self, process: asyncio.subprocess.Process) -> None:
         """Sample how long it waited for a core and what lies in its folder, until it is gone."""
         disk = -1
-        self._waited, self._waited_now = self._waited + self._waited_now, 0
         while process.returncode is None:
-            self._waited_now = max(self._waited_now, _run_delay(process.pid))
+            self._waited[process.pid] = max(self._waited.get(process.pid, 0), _run_delay(process.pid))
             at, _ = self.observer.did()
             # What was read in the round before this one had happened by then.
             since = self.observer.clock.since
-            self.observer.see(ev.Starved(at, since, self.name, self._waited + self._waited_now))
+            self.observer.see(ev.Starved(at, since, self.name, sum(self._waited.values())))
             used = _used(self.state)
             if used != disk:
                 disk = used
@@ -150,6 +231,9 @@
                     await process.wait()
             except TimeoutError:
                 continue
+        if process.pid in self._expected:
+            self._expected.discard(process.pid)
+            return
         at, since = self.observer.read()
         # One that never became ready is a start that failed: whoever started it hears of that.
         planned = self.planned or not self.ready
--- a/garnetrelay/rehearsal/report/live.py
+++ b/garnetrelay/rehearsal/report/live.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 from rich.console import Console, Group
 from rich.live import Live
@@ -62,6 +63,14 @@
     console.print(Text(f"{counts['handed in']} handed in, {outcome.tally.statuses[200]} delivered, "
                        f"{counts['notices, bounced'] + counts['answered busy']} refused, "
                        f"{counts['notices, dead']} failed; {outcome.tally.most_held} held at most"))
+    if outcome.tally.upgrades:
+        how = ", ".join(f"{count} {name}" for name, count in Counter(u.how for u in outcome.tally.upgrades).items())
+        console.print(Text(f"upgrades: {how}; hand-ins unanswered: " + (", ".join(
+            f"{count} {name.removeprefix('unanswered, ')}" for name, count in counts.items()
+            if name.startswith("unanswered")) or "none")))
+        for name, times in outcome.tally.answer_times().items():
+            console.print(Text(f"answers {name}: " + ", ".join(f"{key} {value:g}" for key, value in times.items())
+                               + " ms"))
     for rude in outcome.rude:
         console.print(Text(f"bad clients: {rude.tried} tried, {rude.left_waiting} left with neither error nor close"))
     end = Text("every rule held", style="bold green") if outcome.kept else Text(
--- a/garnetrelay/rehearsal/scenario.py
+++ b/garnetrelay/rehearsal/scenario.py
@@ -23,7 +23,8 @@
 What = Literal[
     "shut", "hang", "silent", "fail", "reset", "spoil", "slow", "down",  # partners
     "burst", "hot",  # traffic
-    "restart", "kill", "reload",  # relays
+    "restart", "kill", "reload", "upgrade",  # relays
+    "by-hand",  # staff take endpoints out, which are restarted, and put them back
     "register-down", "register-slow", "watches-end", "index-back",  # the register
     "notices-refused", "notices-lost",  # the platform
     "drain", "replace", "reports-absurd",  # endpoints
@@ -121,6 +122,8 @@
     relays: Literal["one", "rolling", "all"] = "one"
     every_s: Positive = 3.0  # between two of a rolling restart
     down_s: Amount = 0.6  # from SIGKILL, or its end, to the next start
+    rounds: Count = 1  # of upgrades in a row, each ``every_s`` after the one before
+    fails: Share = 0.0  # share of the upgrades whose new process can't start, or is killed on its way
 
 
 class Rules(Spec, frozen=True):
--- a/garnetrelay/rehearsal/tally.py
+++ b/garnetrelay/rehearsal/tally.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import bisect
+from array import array
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -53,6 +55,9 @@
         self.most_held = 0
         self.starved: dict[str, int] = {}
         self.disk: dict[str, int] = {}
+        self.upgrades: list[ev.RelayPassed] = []
+        self.answers: dict[str, array[int]] = {}  # by relay: when a hand-in was written, and its answer's time, in turn
+        self._asked: dict[str, int] = {}  # hand-ins without an answer yet
         self._routes: dict[str, ev.Route] = {}
         self._refs: dict[str, str] = {}
         self._calls: dict[int, ev.CallCame] = {}
@@ -79,6 +84,7 @@
             ev.CallCame: self._came, ev.CallAnswered: self._answered, ev.CallEnded: self._ended,
             ev.Effect: lambda event, now: self.counts.update(("effects",)),
             ev.ProbeCame: lambda event, now: self.counts.update(("probes",)), ev.NoticeCame: self._notice,
+            ev.RelayPassed: lambda event, now: self.upgrades.append(event),
             ev.RelaySignalled: lambda event, now: self.restarts.append(event),
             ev.Step: lambda event, now: self.steps.append(event),
             ev.FellOver: lambda event, now: self.fell.append(event),
@@ -90,12 +96,16 @@
     def _handed_in(self, event: ev.HandedIn, now: Second) -> None:
         now.handed_in += 1
         self.counts["handed in"] += 1
+        self._asked[event.ref] = event.at
         root = event.lineage.partition(".")[0]
         self._refs[event.ref] = root
         if root not in self.served:
             self.served[root] = Served(self._classes[event.klass], event.at)
 
     def _taken_on(self, event: ev.Answered, now: Second) -> None:
+        asked = self._asked.pop(event.ref, None)
+        if asked is not None:
+            self.answers.setdefault(event.relay, array("q")).extend((asked, event.at - asked))
         if event.answer != "ok":
             now.refused += 1
             self.counts[f"answered {event.answer}"] += 1
@@ -108,6 +118,8 @@
 
     def _unanswered(self, event: ev.Unanswered, now: Second) -> None:
         self.counts[f"unanswered, {event.why}"] += 1
+        if event.why != "closed":
+            self._asked.pop(event.ref, None)
 
     def _came(self, event: ev.CallCame, now: Second) -> None:
         route = self._routes.get(event.route)
@@ -174,6 +186,17 @@
                 got[name] += klass["worth"] * served.worth
         return {name: got[name] / asked[name] for name in asked if asked[name]}
 
+    def answer_times(self) -> dict[str, dict[str, float]]:
+        """Until a client has its answer (milliseconds): while its relay was being upgraded, and otherwise."""
+        found: dict[str, list[int]] = {"during upgrades": [], "otherwise": []}
+        for relay, pairs in self.answers.items():
+            spans = sorted((passed.began, passed.at) for passed in self.upgrades if passed.relay == relay)
+            for asked, took in zip(pairs[::2], pairs[1::2], strict=True):
+                place = bisect.bisect(spans, (asked + took, 1 << 62)) - 1
+                within = any(asked <= end for _, end in spans[max(0, place - 1):place + 1])
+                found["during upgrades" if within else "otherwise"].append(took)
+        return {name: _percentiles(times) for name, times in found.items() if times}
+
     def summary(self) -> dict[str, Any]:
         """For machines: plain values only."""
         return {
@@ -181,7 +204,16 @@
             "counts": dict(sorted(self.counts.items())),
             "answers": {str(status): count for status, count in sorted(self.statuses.items())},
             "most held": self.most_held,
+            "answer times, ms": self.answer_times(),
+            "upgrades": dict(Counter(passed.how for passed in self.upgrades)),
             "partners pushed over": [event.scope for event in self.fell],
             "starved seconds": {relay: round(waited / 1e9, 3) for relay, waited in sorted(self.starved.items())},
             "disk bytes at most": dict(sorted(self.disk.items())),
         }
+
+
+def _percentiles(times: list[int]) -> dict[str, float]:
+    times.sort()
+    picked = {"p50": 0.5, "p99": 0.99, "max": 1.0}
+    found = {name: round(times[min(len(times) - 1, int(share * len(times)))] / 1e6, 2) for name, share in picked.items()}
+    return {"count": len(times), **found}
--- a/garnetrelay/upgrade/take.py
+++ b/garnetrelay/upgrade/take.py
@@ -47,13 +47,9 @@
         self.channel.close()
 
 
-class Denied(Exception):
-    """The process that serves does not give the relay away."""
-
-
 def ask(folder: Path) -> Inheritance | None:
     """The relay of the process that serves from a folder; None where none does, or where it dies of it: then a
-    start from the folder is right. Denied where it serves on."""
+    start from the folder is right. So it is where it does not give the relay away: then the claim says the rest."""
     door = Door(folder)
     try:
         channel = door.call()
@@ -66,7 +62,7 @@
         channel.send(p.Hello([p.VERSION]))
         frame, descriptors = channel.receive(GIVE_TIME)
         if isinstance(frame, p.Refused):
-            raise Denied(frame.why)
+            raise ChannelError(f"refused: {frame.why}")
         if not isinstance(frame, p.State) or len(descriptors) != 2:
             raise ChannelError(f"{type(frame).__name__} in place of the state")
         found = Inheritance(channel, frame, descriptors[0], socket.socket(fileno=descriptors[1]))
