--- a/garnetrelay/cli/commands.py
+++ b/garnetrelay/cli/commands.py
@@ -9,8 +9,10 @@
 SUBCOMMANDS = {
     "check-config": "garnetrelay.cli.check_config",
     "journal": "garnetrelay.cli.journal",
+    "operators": "garnetrelay.cli.operators",
     "rehearse": "garnetrelay.cli.rehearse",
     "serve": "garnetrelay.cli.serve",
+    "upgrade": "garnetrelay.cli.upgrade",
 }
 
 
--- /dev/null
+++ b/tests/operators/test_cli.py
@@ -0,0 +1,62 @@
+"""The subcommands for staff, against real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+from garnetrelay.cli.upgrade import alive, serving
+from tests.sockets import Client, Field
+from tests.test_process import ROOT, Process
+
+
+def free() -> str:
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{found.getsockname()[1]}"
+
+
+async def command(*words: str, environment: dict[str, str] | None = None) -> tuple[int, str]:
+    """A subcommand's exit status, and what it says."""
+    child = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "garnetrelay.cli", *words, cwd=ROOT, env={**os.environ, **(environment or {})},
+        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
+    output, _ = await child.communicate()
+    return child.returncode or 0, output.decode()
+
+
+async def test_staff_call_and_upgrade_from_the_command_line(field: Field, tmp_path: Path) -> None:
+    process, staff, later = Process(field), free(), free()
+    client = await process.start({"RELAY_OPS": staff})
+    environment = {**field.environment(process.port), "RELAY_OPS": ""}
+    assert await command("operators", "health", "--at", staff) == (0, "it serves\n")
+    assert (await command("operators", "offline", "--at", staff, "s-none"))[0] == 1
+    assert await command("operators", "offline", "--at", staff, "s-1") == (0, "s-1 is out\n")
+    assert "relay_hosts_excluded 1\n" == (await command("operators", "figures", "--at", staff, "--only", "excl"))[1]
+
+    state, log = str(field.state), str(tmp_path / "log")
+    words = ("upgrade", "--state", state, "--staff", later, "--log", log)
+    failed = await command(*words, "--to", f"{sys.executable} -c 'raise SystemExit(3)'", environment=environment)
+    assert failed[0] == 1 and "status 3" in failed[1] and "the old one serves on" in failed[1]
+    assert await client.ask("PING") == b"PONG"
+
+    done = await command(*words, environment=environment)
+    assert done[0] == 0, done[1]
+    new = serving(field.state)
+    assert new is not None and process.child is not None and await process.end(signal.SIGTERM) == 0
+    assert await client.ask("PING") == b"PONG" and await (await Client.connect(process.port)).ask("PING") == b"PONG"
+    assert "relay_hosts_excluded 1\n" == (await command("operators", "figures", "--at", later, "--only", "excl"))[1]
+    ended, watched = asyncio.Event(), os.pidfd_open(new)
+    asyncio.get_running_loop().add_reader(watched, ended.set)
+    os.kill(new, signal.SIGTERM)
+    async with asyncio.timeout(20):
+        await ended.wait()
+    asyncio.get_running_loop().remove_reader(watched)
+    os.close(watched)
+    assert not alive(new)
+    assert (await command("operators", "health", "--at", later))[0] == 2
+    assert (await command(*words, environment=environment))[0] == 2
--- a/tests/rehearsal/faults.py
+++ b/tests/rehearsal/faults.py
@@ -18,10 +18,12 @@
 from garnetrelay.delivery.http import answers, hosts
 from garnetrelay.fronts.resp import server
 from garnetrelay.membership import register
+from garnetrelay.operators import exclusions
 from garnetrelay.platform import notices
 from garnetrelay.store import store
 from starlingwick import control
 from starlingwick import interface as io
+from starlingwick import memory
 
 SECOND = 1_000_000_000
 
@@ -100,7 +102,7 @@
                 asyncio.get_running_loop().call_later(
                     1.5, lambda: (self.notices.tell(message.ref, "dead", 0), self.notices.send()))
         return wrong
-    replaced(core.Relay, "_finish", make)
+    replaced(core.Relay, "finish", make)
 
 
 # ---- rule 2
@@ -198,7 +200,33 @@
         s, kinds=tuple(dataclasses.replace(kind, apart=True) for kind in s.kinds)))()
 
 
+# ---- upgrades
+
+def knowledge_left_behind() -> None:
+    """What the old process knew of hosts, waits above all, does not pass."""
+    memory.restore = lambda pacer, memory: None
+
+
+def calls_left_behind() -> None:
+    """A call that passed is taken for one that never was."""
+    def make(recovered: Any) -> Any:
+        def wrong(self: Any, entry: Any, now_ms: int) -> Any:
+            if self.inheritance is not None and self.inheritance.calls.pop(entry.ref, None) is not None:
+                entry.trying_at = None
+            return recovered(self, entry, now_ms)
+        return wrong
+    replaced(core.Relay, "_recovered", make)
+
+
+def hands_left_behind() -> None:
+    """Which hosts staff took out is not read at a start."""
+    exclusions.Exclusions.read = lambda self: None  # type: ignore[method-assign]
+
+
 FAULTS: dict[str, Fault] = {
+    "knowledge-left-behind": Fault(6, ("sent-in-wait",), "upgraded", knowledge_left_behind),
+    "calls-left-behind": Fault(2, ("sent-again", "effect-twice", "together"), "upgraded", calls_left_behind),
+    "hands-left-behind": Fault(3, ("sent-to-draining",), "upgraded", hands_left_behind),
     "notice-forgotten": Fault(1, ("lost",), "failing", notice_forgotten),
     "nothing-recovered": Fault(1, ("lost",), "killed", nothing_recovered),
     "deadline-misread": Fault(1, ("late", "lost"), "shut-long", deadline_misread),
--- a/tests/rehearsal/test_played.py
+++ b/tests/rehearsal/test_played.py
@@ -16,7 +16,7 @@
 from tests.rehearsal import planted
 from tests.rehearsal.faults import FAULTS
 
-PLANTED = ("attempts-not-recorded", "drain-not-understood", "waits-halved")
+PLANTED = ("attempts-not-recorded", "drain-not-understood", "waits-halved", "calls-left-behind")
 TASKS: list[tuple[str, int, str | None]] = [(FAULTS[name].scenario, 3, name) for name in PLANTED]
 
 
@@ -35,6 +35,15 @@
     assert found and all(verdict.relay.startswith("relay") and len(verdict.proof) >= 2 for verdict in found)
 
 
+def test_upgrades_under_load_go_unnoticed() -> None:
+    found = planted.load("upgraded")
+    outcome = conductor.play(found, plan.make(found, 5))
+    assert outcome.kept, outcome.verdicts
+    tally = outcome.tally
+    assert [passed.how for passed in tally.upgrades] == ["well"] * 8
+    assert not [name for name in tally.counts if name.startswith("unanswered")]
+
+
 def test_clean_scenario_keeps_every_rule_and_its_recording_says_the_same(tmp_path: Path) -> None:
     found = planted.load("closing-hour")
     schedule = plan.make(found, 3, seconds=12.0)
