--- a/garnetrelay/rehearsal/checker/drains.py
+++ b/garnetrelay/rehearsal/checker/drains.py
@@ -19,7 +19,7 @@
     @property
     def handlers(self) -> Handlers:
         return {ev.Told: self._told, ev.OutByHand: self._by_hand, ev.RelayEnded: self._ended,
-                ev.CallCame: self._sent, ev.ProbeCame: self._sent}
+                ev.CallCame: self._sent, ev.ProbeCame: self._sent, ev.ConnectFailed: self._sent}
 
     def _told(self, event: ev.Told) -> None:
         if event.status == "Ready":
@@ -37,20 +37,22 @@
         for key in [key for key in self.told if key[0] == event.relay]:
             del self.told[key]
 
-    def _sent(self, came: ev.CallCame | ev.ProbeCame) -> None:
+    def _sent(self, came: ev.CallCame | ev.ProbeCame | ev.ConnectFailed) -> None:
         for told in (self.told.get((came.relay, came.route)), self.by_hand.get((came.relay, came.route))):
             if told is not None:
                 self._judge(told, came)
 
-    def _judge(self, told: ev.Told | ev.OutByHand, came: ev.CallCame | ev.ProbeCame) -> None:
+    def _judge(self, told: ev.Told | ev.OutByHand, came: ev.CallCame | ev.ProbeCame | ev.ConnectFailed) -> None:
+        first = came.since if isinstance(came, ev.ConnectFailed) else came.first
         subject = came.ref if isinstance(came, ev.CallCame) else came.route
         figures = self.facts.figures
         end = told.at + figures.drain_grace + figures.sockets_slack
         end += self.facts.relay(came.relay).starved(told.at, came.at)
-        if came.first > end:
+        if first > end:
             state = told.status if isinstance(told, ev.Told) else "out by hand"
-            what = f"sent {subject}" if isinstance(came, ev.CallCame) else "sent a probe"
+            what = f"sent {subject}" if isinstance(came, ev.CallCame) else (
+                "sent a probe" if isinstance(came, ev.ProbeCame) else "opened a connection")
             self.docket.broken(
                 3, "sent-to-draining", subject, came.relay, came.at,
                 f"{came.relay} was told at {seconds(told.at)} that {came.route} is {state}, and {what} there "
-                f"at {seconds(came.first)} at the earliest", [told, came])
+                f"at {seconds(first)} at the earliest", [told, came])
--- a/garnetrelay/rehearsal/conductor.py
+++ b/garnetrelay/rehearsal/conductor.py
@@ -28,6 +28,7 @@
 
 QUIET = 0.5  # seconds with nothing held before a run is over
 GONE_AFTER = 6.0  # seconds from a drain to the endpoint's end, unless the step says otherwise
+STAFF_TRIES = 20
 LAST_LOOK = 0.2  # seconds for what is still on its way once all is over
 
 
@@ -228,9 +229,13 @@
         """Every relay is told that an endpoint is out; it is restarted, and comes back cold; then it is put back."""
         route, number = step.routes[0], step.partners[0]
         relays = [relay for relay in self.relays.values() if relay.ready]
-        said = [await relay.exclude(route, True) for relay in relays]
-        if not all(said):
-            raise StartError(f"no yes to OFFLINE {route}: {said}")
+        for relay in relays:
+            for left in reversed(range(STAFF_TRIES)):  # the process that was called may be ending: the new one is there
+                if await relay.exclude(route, True):
+                    break
+                if not left:
+                    raise StartError(f"{relay.name}: no yes to OFFLINE {route}")
+                await asyncio.sleep(0.1)
         await asyncio.sleep(self.plan.settings["rules"]["drainGrace"] / SECOND + 0.5)
         self.partners.strike_route(number, route)
         await asyncio.sleep(step.spec.seconds)
--- a/garnetrelay/upgrade/give.py
+++ b/garnetrelay/upgrade/give.py
@@ -10,6 +10,7 @@
 import sys
 import time
 from collections.abc import Iterable, Iterator
+from pathlib import Path
 from typing import TYPE_CHECKING, TypeVar
 
 from garnetrelay.upgrade import protocol as p
@@ -32,9 +33,20 @@
 STAFF_TIME = 10.0  # seconds that this process goes on answering staff behind that
 BATCH = 32  # connections in a frame: so many are open on both sides at most
 
+OVER_BODY = 3000  # bytes that a held message takes besides its body, at most
+
 T = TypeVar("T")
 
 
+def resident(process: int) -> int:
+    """The memory that a process has (bytes); 0 where that can't be told."""
+    try:
+        pages = Path(f"/proc/{process}/statm").read_text().split()[1]
+        return int(pages) * os.sysconf("SC_PAGE_SIZE")
+    except (OSError, IndexError, ValueError):
+        return 0
+
+
 def start_anew() -> None:
     """Begin this very process again, as it was begun: its descriptors close with it, the folder has the rest."""
     logging.shutdown()
@@ -88,7 +100,7 @@
             frame, _ = channel.receive()
             if not isinstance(frame, p.Hello):
                 raise ChannelError(f"{type(frame).__name__} in place of a hello")
-            why = self._unready()
+            why = self._unready(channel)
             if self.state.hello(frame.versions, not why) is p.Step.REFUSE:
                 channel.send(p.Refused(why or f"this process speaks version {p.VERSION} of the upgrade"))
                 channel.close()
@@ -111,10 +123,19 @@
         if step is p.Step.WAIT:
             await self._attend(channel)
 
-    def _unready(self) -> str:
-        if self.relay.stopping or not self.relay.serving:
+    def _unready(self, channel: Channel) -> str:
+        """Why not, if so."""
+        relay = self.relay
+        if relay.stopping or not relay.serving:
             return "it is starting or stopping"
-        return "its folder takes no records" if self.relay.journal.broken else ""
+        if relay.journal.broken:
+            return "its folder takes no records"
+        ours, theirs = resident(os.getpid()), resident(channel.peer[0])
+        held = sum(len(message.body) + OVER_BODY for message in relay.held.values())
+        if not p.bears(relay.config.memory_bytes, ours, theirs, held):
+            return (f"{relay.config.memory_bytes >> 20} MB do not bear both processes: this one has {ours >> 20}, the "
+                    f"new one {theirs >> 20}, and needs {held >> 20} more")
+        return ""
 
     async def _readable(self, channel: Channel, patience: float) -> None:
         ready: asyncio.Future[None] = self.loop.create_future()
--- a/garnetrelay/upgrade/protocol.py
+++ b/garnetrelay/upgrade/protocol.py
@@ -222,3 +222,48 @@
     def stop(self) -> Step:
         """This process is told to end."""
         return Step.SERVE if self.owner is Owner.OLD else Step.END
+
+
+class Turn(Enum):
+    """What the new process does next."""
+
+    READ = auto()  # the next frame
+    TAKE_UP = auto()  # all is here, and it is ours
+    FROM_FOLDER = auto()  # drop what has come, and start as if nobody had served
+    SERVE = auto()
+
+
+@dataclass(slots=True)
+class Taking:
+    """The new process's side. What has come before END is not ours: the old process may still be the owner, or
+    nobody, and then the folder is."""
+
+    owner: Owner = Owner.OLD
+    has_state: bool = False
+
+    def heard(self, frame: Frame, descriptors: int) -> Turn:
+        """A frame has come, with so many descriptors."""
+        if isinstance(frame, End):
+            if not self.has_state:
+                return Turn.FROM_FOLDER
+            self.owner = Owner.NEW
+            return Turn.TAKE_UP
+        if isinstance(frame, State):
+            if self.has_state or descriptors != 2:
+                return Turn.FROM_FOLDER
+            self.has_state = True
+            return Turn.READ
+        counts = {Clients: "clients", IdleHosts: "hosts", Calls: "calls"}
+        listed = counts.get(type(frame))
+        if not self.has_state or listed is None or len(getattr(frame, listed)) != descriptors:
+            return Turn.FROM_FOLDER
+        return Turn.READ
+
+    def lost(self) -> Turn:
+        """The old process is gone, silent, or says what can't be understood."""
+        return Turn.SERVE if self.owner is Owner.NEW else Turn.FROM_FOLDER
+
+
+def bears(limit: int, old: int, new: int, held: int) -> bool:
+    """Whether a limit of memory bears both processes: what each has by now, and what is held once more (bytes)."""
+    return old + new + held <= limit
--- a/garnetrelay/upgrade/take.py
+++ b/garnetrelay/upgrade/take.py
@@ -12,7 +12,7 @@
 
 from garnetrelay.config.deployment import Address
 from garnetrelay.upgrade import protocol as p
-from garnetrelay.upgrade.channel import Channel, ChannelError, Door
+from garnetrelay.upgrade.channel import FRAME_TIME, Channel, ChannelError, Door
 
 log = logging.getLogger(__name__)
 
@@ -58,17 +58,19 @@
     if channel is None:
         return None
     found: Inheritance | None = None
+    taking, patience = p.Taking(), GIVE_TIME
     try:
         channel.send(p.Hello([p.VERSION]))
-        frame, descriptors = channel.receive(GIVE_TIME)
-        if isinstance(frame, p.Refused):
-            raise ChannelError(f"refused: {frame.why}")
-        if not isinstance(frame, p.State) or len(descriptors) != 2:
-            raise ChannelError(f"{type(frame).__name__} in place of the state")
-        found = Inheritance(channel, frame, descriptors[0], socket.socket(fileno=descriptors[1]))
-        while not isinstance(frame, p.End):
-            frame, descriptors = channel.receive()
-            _take(found, frame, [socket.socket(fileno=descriptor) for descriptor in descriptors])
+        while taking.owner is p.Owner.OLD:
+            frame, descriptors = channel.receive(patience)
+            patience = FRAME_TIME
+            if isinstance(frame, p.Refused):
+                raise ChannelError(f"refused: {frame.why}")
+            if taking.heard(frame, len(descriptors)) is p.Turn.FROM_FOLDER:
+                for descriptor in descriptors:
+                    os.close(descriptor)
+                raise ChannelError(f"{type(frame).__name__} out of turn")
+            found = _take(channel, found, frame, descriptors)
         return found
     except ChannelError as error:
         log.warning("upgrade: starting from the folder: %s", error)
@@ -79,7 +81,13 @@
         return None
 
 
-def _take(found: Inheritance, frame: p.Frame, sockets: list[socket.socket]) -> None:
+def _take(channel: Channel, found: Inheritance | None, frame: p.Frame, descriptors: list[int]) -> Inheritance:
+    """Keep what a frame brought; its order and counts have been checked."""
+    if isinstance(frame, p.State):
+        claim, listener = descriptors
+        return Inheritance(channel, frame, claim, socket.socket(fileno=listener))
+    assert found is not None
+    sockets = [socket.socket(fileno=descriptor) for descriptor in descriptors]
     match frame:
         case p.Clients(clients):
             found.clients += zip(clients, sockets, strict=True)
@@ -88,10 +96,7 @@
         case p.Calls(calls):
             found.calls.update((call.ref, (call, connection))
                                for call, connection in zip(calls, sockets, strict=True))
-        case p.End():
-            pass
-        case _:
-            raise ChannelError(f"{type(frame).__name__} in place of connections")
+    return found
 
 
 class Hearing:
