--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from benchmarks import store, turns
+from benchmarks import store, turns, upgrade
 from benchmarks.kit import carried
 from benchmarks.peers import Cost, measure
 
@@ -92,6 +92,9 @@
     four.add_argument("--lives", type=int, default=40_000)
     four.add_argument("--old", type=Path, help="the module of the journal before, from the history")
     four.set_defaults(run=lambda chosen: store.compare(chosen.live, chosen.lives, chosen.old))
+    five = commands.add_parser("upgrade", help=upgrade.compare.__doc__)
+    five.add_argument("--held", type=int, nargs="+", default=[0, 10_000, 100_000])
+    five.set_defaults(run=lambda chosen: upgrade.compare(chosen.held))
     options = parser.parse_args()
     print(machine())
     options.run(options)
--- a/tests/upgrade/test_upgrade.py
+++ b/tests/upgrade/test_upgrade.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import os
+import shutil
 import signal
 import socket
 import sys
 from collections.abc import AsyncIterator
+from pathlib import Path
 
 import pytest
 import pytest_asyncio
@@ -188,3 +190,15 @@
     assert not [a for a in actions if isinstance(a, io.Send)] and not second.calls
     later = [a for n in range(40) for a in second.handle(6 * S + n * S // 10, []) if isinstance(a, io.Send)]
     assert [a.call for a in later] == ["told"]
+
+
+async def test_store_of_the_version_landed_before(field: Field, relay: Upgraded) -> None:
+    """Left by a kill of the program at e7d5449: a payment, a keyed and a safe message out, one delivered, one failed
+    whose notice nobody had acknowledged. All their times are up by now."""
+    shutil.copy(Path(__file__).parent / "landed" / "0000000000000001.seg", field.state)
+    await relay.start()
+    ends = [await field.platform.next_notice() for _ in range(4)]
+    assert {end["ref"]: end["result"] for end in ends} == {
+        "pay": "dead", "key": "dead", "safe": "bounced", "failed": "dead"}
+    assert await relay.end(signal.SIGTERM) == 0
+    assert field.host.calls.empty() and field.platform.notices.empty()
