A new process reads the folder ahead of the hand-over, and picks up messages in slices

Cause: with 100,000 held the longest PING of an upgrade was 2,824 ms: the store was read and the Pacer told of every message within the silence. Change: store/ahead.py reads the live folder before the hello, a start catches up with what came since; recovered messages go to the Pacer 1,000 a round of the loop, behind those that keep an order and calls that are out, once clients are served; what was read is left out of collections.

--- a/garnetrelay/__main__.py
+++ b/garnetrelay/__main__.py
@@ -16,6 +16,7 @@
 from garnetrelay.store.store import StoreError
 
 if TYPE_CHECKING:
+    from garnetrelay.store.ahead import Ahead
     from garnetrelay.upgrade.take import Inheritance
 
 log = logging.getLogger("garnetrelay")
@@ -30,16 +31,17 @@
         log.error("the old configuration stays: %s", error)
 
 
-def inherit(config: Config) -> tuple[Config, Inheritance | None]:
+def inherit(config: Config) -> tuple[Config, Inheritance | None, Ahead | None]:
     """What another process that serves from this folder hands to this one, where staff may upgrade a relay."""
     if config.operators is None:
-        return config, None
+        return config, None, None
     from garnetrelay.upgrade import take  # only where it may be
+    ahead = take.read_folder(config.state)
     inheritance = take.ask(config.state)
     if inheritance is None:
-        return config, None
+        return config, None, ahead
     moved = take.discovery(inheritance.state.discovery, config.discovery, reload(os.environ).discovery)
-    return dataclasses.replace(config, discovery=moved), inheritance
+    return dataclasses.replace(config, discovery=moved), inheritance, ahead
 
 
 async def serve(config: Config, early: list[int]) -> None:
--- a/garnetrelay/operators/service.py
+++ b/garnetrelay/operators/service.py
@@ -47,7 +47,7 @@
 
     def figures(self) -> str:
         relay = self.relay
-        in_flight = sum(not message.over for message in relay.held.values())
+        in_flight = sum(not message.over for message in relay.held.values()) + len(relay.recovering)
         return figures.text(relay.counts, relay.hosts.calls_written, in_flight, len(relay.listed),
                             relay.pacer.avoided())
 
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -9,8 +9,10 @@
 import asyncio
 import dataclasses
 import functools
+import gc
 import logging
 import time
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -29,6 +31,7 @@
 
 if TYPE_CHECKING:
     from garnetrelay.operators.service import Operators
+    from garnetrelay.store.ahead import Ahead
     from garnetrelay.store.durability import Syncing
     from garnetrelay.upgrade.give import Giver
     from garnetrelay.upgrade.protocol import State
@@ -41,6 +44,7 @@
 STOP_AFTER = 3 * SECOND  # from SIGTERM to our end: SIGKILL comes no sooner than after 3.7 s
 TEND_PAUSE = 0.005  # seconds between two steps of compaction while no turn comes
 BROKEN_PAUSE = 0.25  # seconds until a folder that takes no records is tried again
+SLICE = 1000  # messages picked up in a round of the loop: some ten milliseconds
 MOST_GONE = 4096  # hosts that have left the list and are still known by name
 DRAIN_AFTER = 0.6  # seconds after SIGTERM: new connections come for up to 0.4 s
 
@@ -120,13 +124,13 @@
 class Relay:
     """One relay, from its start to its end."""
 
-    def __init__(self, config: Config, inheritance: Inheritance | None = None) -> None:
+    def __init__(self, config: Config, inheritance: Inheritance | None = None, ahead: Ahead | None = None) -> None:
         self.config = config
         self.inheritance = inheritance
         self.settings = config.settings
         self.pacer = Pacer(config.settings, config.seed)
         self.journal = Store.open(config.state, config.disk_bytes, config.machine_durable,
-                                  None if inheritance is None else inheritance.claim)
+                                  None if inheritance is None else inheritance.claim, ahead)
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
         self.listed: dict[str, io.HostEntry] = {}  # by host
         self.gone: dict[str, None] = {}  # hosts that were listed, the latest last
@@ -136,6 +140,7 @@
         self.hearing: Hearing | None = None
         self.dests: set[int] = set()  # all that the list has ever named
         self.held: dict[str, Held] = {}
+        self.recovering: deque[Entry] = deque()  # picked up, and not yet with the Pacer
         self.newcomers: dict[str, Newcomer] = {}
         self.inbox: list[io.Event] = []
         self.turn_due = False
@@ -173,6 +178,7 @@
 
     async def start(self) -> tuple[str, int]:
         """Pick up what an earlier life left, then listen; the address that clients may use."""
+        gc.freeze()  # what was read stays: no collection has to look at it again
         if self.config.machine_durable:
             from garnetrelay.store.durability import Syncing  # a thread: only where it is wanted
             self.syncing = Syncing(self.journal)
@@ -195,6 +201,7 @@
         else:
             address = await self._adopt(self.inheritance)
         self.serving = True
+        self._recover_slice()
         if self.config.operators is not None:
             from garnetrelay.upgrade.give import Giver  # staff may upgrade it
             self.giver = Giver(self)
@@ -238,7 +245,8 @@
         self._end_if_idle()
 
     def _end_if_idle(self) -> None:
-        if self.server.draining and not (self.held or self.notices.queue or self.unreleased):
+        if self.server.draining and not (
+                self.held or self.recovering or self.notices.queue or self.unreleased):
             self.finished.set()
 
     def retire(self) -> None:
@@ -315,19 +323,42 @@
         return ""
 
     def _recover(self) -> None:
-        now_ms = time.time_ns() // MS
+        """Pick up what an earlier life left. Messages that keep an order come before any newcomer of theirs, and calls
+        that are out before any other; the rest goes to the Pacer in slices, soonest deadline first, while clients are
+        answered."""
+        passed = {} if self.inheritance is None else self.inheritance.calls
+        first: list[Entry] = []
+        rest: list[Entry] = []
         for entry in list(self.journal.entries.values()):
             if entry.ended is not None:
                 self.ends.append((entry.ref, entry.ended, entry.wait_ms))
             elif entry.klass not in self.class_numbers:
                 log.error("journal: message %s has the unknown class %s", entry.ref, entry.klass)
                 self._end(entry.ref, "dead", 0)
+            elif entry.ref in passed or self.settings.classes[self.class_numbers[entry.klass]].in_turn:
+                first.append(entry)
             else:
-                ends_at = time.monotonic_ns() + (entry.deadline - now_ms) * MS
-                self.held[entry.ref] = Held(entry.ref, entry.klass, entry.key, entry.body, ends_at, entry.attempts)
-                self.inbox.append(self._recovered(entry, now_ms))
+                rest.append(entry)
+        rest.sort(key=lambda entry: entry.deadline)
         if self.journal.entries:
-            log.info("picked up %d messages and %d notices", len(self.held), len(self.ends))
+            log.info("picked up %d messages and %d notices", len(first) + len(rest), len(self.ends))
+        self.recovering.extend(rest)
+        self._take_up(first)
+
+    def _recover_slice(self) -> None:
+        """So many at once, and the others in later rounds of the loop."""
+        if self.closed:
+            return
+        self._take_up([self.recovering.popleft() for _ in range(min(SLICE, len(self.recovering)))])
+        if self.recovering:
+            asyncio.get_running_loop().call_soon(self._recover_slice)
+
+    def _take_up(self, entries: list[Entry]) -> None:
+        now_ms = time.time_ns() // MS
+        for entry in entries:
+            ends_at = time.monotonic_ns() + (entry.deadline - now_ms) * MS
+            self.held[entry.ref] = Held(entry.ref, entry.klass, entry.key, entry.body, ends_at, entry.attempts)
+            self.post(self._recovered(entry, now_ms))
 
     def _recovered(self, entry: Entry, now_ms: int) -> io.Recovered:
         passed = None if self.inheritance is None else self.inheritance.calls.get(entry.ref)
@@ -384,7 +415,9 @@
             dest=request.dest,
             key=request.key,
             patience=request.patience_ms * MS,
-            storable=self.journal.has_room(request.ref, request.key, len(request.body)),
+            storable=self.journal.has_room(request.ref, request.key, len(request.body)) and (
+                not self.recovering
+                or len(self.held) + len(self.recovering) < self.settings.limits.most_held),
         ))
 
     def on_news(self, news: News | None) -> None:
--- a/garnetrelay/store/format.py
+++ b/garnetrelay/store/format.py
@@ -184,10 +184,9 @@
     return Record(_KINDS[kind] or Kind.NOTE, payload, at, end - at)
 
 
-def scan(data: bytes) -> Iterator[Record | tuple[int, int]]:
-    """A segment's records, and between them what can't be read: from where to where. What can't be read at its end
-    comes last, as any other."""
-    at = HEADER.size
+def scan(data: bytes, at: int = HEADER.size) -> Iterator[Record | tuple[int, int]]:
+    """A segment's records, or those from a place on, and between them what can't be read: from where to where. What
+    can't be read at its end comes last, as any other."""
     while at < len(data):
         record = record_at(data, at)
         if record is not None:
--- a/garnetrelay/store/index.py
+++ b/garnetrelay/store/index.py
@@ -140,6 +140,20 @@
             elif (entry := self.entries.get(ref)) is not None:
                 entry.stale = tuple(other for other in entry.stale if other != number)
 
+    def vanished(self, number: int) -> None:
+        """A segment that was read is gone: it was cleaned meanwhile. What had its base there was written anew behind
+        it or is over, and so are the ends that were kept there."""
+        segment = self.segments[number]
+        for ref in list(segment.entries):
+            entry = self.entries[ref]
+            if entry.base == number:
+                del self.entries[ref]
+                self.reserved -= reserve(ref, entry.key, len(entry.body))
+                self._unplace(entry)
+        for ref in list(segment.tombs):
+            self._drop_tomb(ref, self.tombs[ref])
+        self.removed(number)
+
     def _unplace(self, entry: Entry) -> None:
         for number, size in entry.spread.items():
             segment = self.segments.get(number)
--- a/garnetrelay/store/storage.py
+++ b/garnetrelay/store/storage.py
@@ -90,6 +90,20 @@
                 self._lock = lock
                 return
 
+    def claimed(self) -> bool:
+        """Whether some process works on the folder just now."""
+        try:
+            lock = os.open(self.path / LOCK, os.O_RDWR | os.O_CLOEXEC)
+        except OSError:
+            return False
+        try:
+            fcntl.flock(lock, fcntl.LOCK_SH | fcntl.LOCK_NB)
+            return False
+        except BlockingIOError:
+            return True
+        finally:
+            os.close(lock)
+
     def adopt(self, claim: int) -> None:
         """Take the folder with a claim that another process has handed over."""
         self._lock = claim
--- a/garnetrelay/store/store.py
+++ b/garnetrelay/store/store.py
@@ -18,6 +18,7 @@
 from pathlib import Path
 
 from garnetrelay.store import cleaning, legacy
+from garnetrelay.store.ahead import Ahead, catch_up
 from garnetrelay.store import format as fmt
 from garnetrelay.store.format import Entry, LaterVersion, Record
 from garnetrelay.store.index import Index, Segment, begin, reserve, settle
@@ -70,7 +71,7 @@
 class Store:
     """Appends records, keeps the live entries, and makes room. One thread uses it."""
 
-    def __init__(self, storage: Storage, disk_bytes: int, machine: bool = False) -> None:
+    def __init__(self, storage: Storage, disk_bytes: int, machine: bool = False, ahead: Ahead | None = None) -> None:
         self.storage = storage
         self.machine = machine  # on record is what outlasts the machine's power, not only this process
         self.wake: Callable[[], None] | None = None  # tells whoever syncs that something waits for it
@@ -98,18 +99,20 @@
         self._last = 0  # the highest number that was ever tried
         self._said = False  # that it is broken
         self._spoilt = False  # the active segment may end in half a record: nothing goes behind that
-        self._load()
+        self._load(ahead)
 
     @classmethod
-    def open(cls, folder: Path, disk_bytes: int, machine: bool = False, claim: int | None = None) -> Store:
-        """The store of a folder, claimed for this process unless a claim was handed to it."""
+    def open(cls, folder: Path, disk_bytes: int, machine: bool = False, claim: int | None = None,
+             ahead: Ahead | None = None) -> Store:
+        """The store of a folder, claimed for this process unless a claim was handed to it. ``ahead``: what was read
+        of it before."""
         door = Folder(folder)
         if claim is None:
             door.claim()
         else:
             door.adopt(claim)
         try:
-            return cls(door, disk_bytes, machine)
+            return cls(door, disk_bytes, machine, ahead)
         except BaseException:
             door.release()
             raise
@@ -526,18 +529,19 @@
 
     # ---- the start
 
-    def _load(self) -> None:
+    def _load(self, ahead: Ahead | None) -> None:
         # All that a load makes stays: to look for what may go would take as long as the reading.
         collecting = gc.isenabled()
         gc.disable()
         try:
-            self._read_folder()
+            self._read_folder(ahead or Ahead())
         finally:
             if collecting:
                 gc.enable()
 
-    def _read_folder(self) -> None:
+    def _read_folder(self, ahead: Ahead) -> None:
         """Read the folder, and begin a segment of this life's own. Nothing is changed before all can be read."""
+        self.index = ahead.index
         try:
             names = self.storage.names()
             numbers = sorted(number for name in names if (number := number_in(name)) is not None)
@@ -549,10 +553,11 @@
             whole = {number: fmt.number_of(data) == number for number, data in read.items()}
         except LaterVersion as error:
             raise StoreError(f"the journal was written by a later version: {error}") from None
+        catch_up(ahead, numbers)
         newest = numbers[-1] if numbers else 0
         torn: tuple[int, int, int] | None = None
         for number in numbers:
-            found = self._replay(number, read.pop(number), whole[number], number == newest)
+            found = self._replay(number, read.pop(number), whole[number], number == newest, ahead.read.get(number))
             if found is not None:
                 torn = (number, *found)
         # Where no segment can be begun, what is noted counts in the newest until it can be put on record.
@@ -566,9 +571,14 @@
         if old is not None or legacy.SPARE in names:
             self._take_over(old)
 
-    def _replay(self, number: int, data: bytes, whole: bool, newest: bool) -> tuple[int, int] | None:
-        """Take in a segment. The newest may end in what a stop cut off: where, and how many records come before."""
-        segment = self.index.segments[number] = Segment(number, len(data))
+    def _replay(self, number: int, data: bytes, whole: bool, newest: bool,
+                start: int | None = None) -> tuple[int, int] | None:
+        """Take in a segment, or what it has from a place on. The newest may end in what a stop cut off: where, and how
+        many records come before."""
+        if start is None:
+            self.index.segments[number] = Segment(number)
+        segment = self.index.segments[number]
+        segment.size = len(data)
         self._used += blocks(len(data))
         if not whole:
             if len(data) <= fmt.HEADER.size:  # it was being begun: nothing can have been in it
@@ -577,7 +587,7 @@
             log.warning("journal: segment %d has no header that can be read", number)
             self._damaged(number)
         gap: tuple[int, int] | None = None
-        for found in fmt.scan(data):
+        for found in fmt.scan(data, fmt.HEADER.size if start is None else start):
             if isinstance(found, tuple):
                 gap = found
                 if found[1] < len(data) or not newest:
--- a/garnetrelay/upgrade/give.py
+++ b/garnetrelay/upgrade/give.py
@@ -126,7 +126,7 @@
     def _unready(self, channel: Channel) -> str:
         """Why not, if so."""
         relay = self.relay
-        if relay.stopping or not relay.serving:
+        if relay.stopping or not relay.serving or relay.recovering:
             return "it is starting or stopping"
         if relay.journal.broken:
             return "its folder takes no records"
--- a/garnetrelay/upgrade/take.py
+++ b/garnetrelay/upgrade/take.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import os
 import socket
@@ -11,6 +12,9 @@
 from pathlib import Path
 
 from garnetrelay.config.deployment import Address
+from garnetrelay.store.ahead import Ahead, read_ahead
+from garnetrelay.store.storage import Folder
+from garnetrelay.store.store import number_in
 from garnetrelay.upgrade import protocol as p
 from garnetrelay.upgrade.channel import FRAME_TIME, Channel, ChannelError, Door
 
@@ -47,6 +51,21 @@
         self.channel.close()
 
 
+def read_folder(folder: Path) -> Ahead | None:
+    """What the process that serves has on record by now; None where none does. This takes its time while it serves:
+    behind the hand-over only what came since is left to read."""
+    door = Folder(folder)
+    if not door.claimed():
+        return None
+    collecting = gc.isenabled()
+    gc.disable()  # all that is made stays
+    try:
+        return read_ahead(door, number_in)
+    finally:
+        if collecting:
+            gc.enable()
+
+
 def ask(folder: Path) -> Inheritance | None:
     """The relay of the process that serves from a folder; None where none does, or where it dies of it: then a
     start from the folder is right. So it is where it does not give the relay away: then the claim says the rest."""
--- /dev/null
+++ b/tests/store/test_ahead.py
@@ -0,0 +1,86 @@
+"""A folder read ahead of the claim, then caught up with, means what a start that reads all of it finds."""
+
+from __future__ import annotations
+
+import random
+import shutil
+from pathlib import Path
+
+import pytest
+
+from garnetrelay.store import ahead as reading
+from garnetrelay.store.format import Entry
+from garnetrelay.store.storage import Folder
+from garnetrelay.store.store import Store, number_in
+
+DISK = 60_000  # small: segments are cleaned all the time
+
+
+def step(store: Store, draw: random.Random, count: int) -> None:
+    """Something that happens to a message."""
+    refs = [ref for ref, entry in store.entries.items() if entry.ended is None]
+    what = draw.random()
+    if what < 0.45 or not refs:
+        body = bytes(draw.randrange(400))
+        if store.has_room(f"m{count}", None, len(body)):
+            store.taken(Entry(f"m{count}", "keyed", 3, None, 10**12 + count, body))
+    elif what < 0.6:
+        store.trying(draw.choice(refs), "north", 10**12)
+    elif what < 0.7:
+        store.outcome(draw.choice(refs), draw.random() < 0.5)
+    else:
+        store.ended(draw.choice(refs), draw.choice((None, None, "dead")))
+    for ref in [ref for ref, entry in store.entries.items() if entry.ended is not None and draw.random() < 0.2]:
+        store.told(ref)
+    if draw.random() < 0.5:
+        store.flush()
+        store.tend()
+
+
+def meant(store: Store) -> tuple[object, ...]:
+    index = store.index
+    return (index.entries, index.reserved, index.live, sorted(index.tombs),
+            {n: (s.size, s.live, s.records, s.sealed, sorted(s.entries)) for n, s in index.segments.items()},
+            {ref: (e.base, e.spread, sorted(e.stale)) for ref, e in index.entries.items()})
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_reading_ahead_changes_nothing(seed: int, tmp_path: Path) -> None:
+    draw = random.Random(seed)
+    live, copy = tmp_path / "live", tmp_path / "copy"
+    live.mkdir()
+    store = Store.open(live, DISK)
+    for count in range(draw.randrange(50, 600)):
+        step(store, draw, count)
+    if draw.random() < 0.5:
+        store.flush()
+    found = reading.read_ahead(Folder(live), number_in)
+    assert found is not None
+    for count in range(1000, 1000 + draw.choice((0, 3, 100, 1200))):
+        step(store, draw, count)
+    store.flush()
+    if draw.random() < 0.5:
+        store.close()
+    else:  # killed, perhaps in the middle of a record
+        store.storage.release()  # type: ignore[attr-defined]
+        newest = max(live.glob("*.seg"))
+        newest.write_bytes(newest.read_bytes() + draw.randbytes(draw.randrange(9)))
+    shutil.copytree(live, copy)
+    assert Folder(live).claimed() is False
+    whole, caught_up = Store.open(live, DISK), Store.open(copy, DISK, ahead=found)
+    assert meant(whole) == meant(caught_up)
+    assert whole.used == caught_up.used
+    whole.close()
+    caught_up.close()
+
+
+def test_damage_is_left_to_the_start(tmp_path: Path) -> None:
+    store = Store.open(tmp_path, DISK)
+    for count in range(300):
+        step(store, random.Random(count), count)
+    store.close()
+    first = min(tmp_path.glob("*.seg"))
+    data = bytearray(first.read_bytes())
+    data[len(data) // 2] ^= 1
+    first.write_bytes(data)
+    assert reading.read_ahead(Folder(tmp_path), number_in) is None
