Refusals to hand a relay over, and two upgrades at once, have tests; entries outside of collections

Change: four tests with real processes or a relay in this one; Entry and Record are msgspec structs that no collection looks at.

--- a/garnetrelay/store/format.py
+++ b/garnetrelay/store/format.py
@@ -14,10 +14,13 @@
 from __future__ import annotations
 
 import struct
+import sys
 import zlib
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 from enum import IntEnum
+from typing import Any
+
+import msgspec
 
 VERSION = 1
 MAGIC = b"GRELAYSG"
@@ -58,9 +61,9 @@
     """A segment of a version that this program does not know."""
 
 
-@dataclass(slots=True)
-class Entry:
-    """A message as the disk knows it. Times are wall clock, in milliseconds."""
+class Entry(msgspec.Struct, eq=False, gc=False):
+    """A message as the disk knows it. Times are wall clock, in milliseconds. It holds nothing that could hold it: no
+    collection has to look at a hundred thousand of them."""
 
     ref: str
     klass: str
@@ -77,13 +80,16 @@
     wait_ms: int = 0
     uncertain: bool = False  # a record was damaged since it was taken: an attempt may be missing
     # Where its records lie: the index keeps these.
-    base: int = field(default=0, compare=False)
-    spread: dict[int, int] = field(default_factory=dict, compare=False)  # bytes of its records, by segment
-    stale: tuple[int, ...] = field(default=(), compare=False)  # segments with an older base
+    base: int = 0
+    spread: dict[int, int] = msgspec.field(default_factory=dict)  # bytes of its records, by segment
+    stale: tuple[int, ...] = ()  # segments with an older base
+
+    def __eq__(self, other: object) -> bool:
+        """Alike in what the disk knows, wherever that stands."""
+        return isinstance(other, Entry) and _known(self) == _known(other)
 
 
-@dataclass(slots=True)
-class Record:
+class Record(msgspec.Struct, gc=False):
     """A record that was read. ``at`` and ``size`` are its place in the segment."""
 
     kind: Kind
@@ -92,6 +98,11 @@
     size: int
 
 
+def _known(entry: Entry) -> tuple[Any, ...]:
+    return (entry.ref, entry.klass, entry.dest, entry.key, entry.deadline, entry.body, entry.attempts, entry.trying_at,
+            entry.trying_zone, entry.ran_at, entry.ran_zone, entry.ended, entry.wait_ms, entry.uncertain)
+
+
 # ---- writing
 
 def header(number: int) -> bytes:
@@ -166,22 +177,24 @@
     return int(number)
 
 
-_KINDS = (None, *Kind)
+_KINDS = (Kind.NOTE, *Kind)  # by number; none has 0
+_RECORD_SIZE = RECORD.size
+_unpack_record = RECORD.unpack_from
 
 
 def record_at(data: bytes, at: int) -> Record | None:
     """The record that begins there, if one does."""
-    start = at + RECORD.size
+    start = at + _RECORD_SIZE
     if start > len(data) or data[at] != MARK:
         return None
-    _, kind, length, checksum = RECORD.unpack_from(data, at)
+    _, kind, length, checksum = _unpack_record(data, at)
     end = start + length
     if length > MOST_PAYLOAD or end > len(data) or not 0 < kind < len(_KINDS):
         return None
     payload = data[start:end]
     if zlib.crc32(payload, kind << 24 ^ length) != checksum:
         return None
-    return Record(_KINDS[kind] or Kind.NOTE, payload, at, end - at)
+    return Record(_KINDS[kind], payload, at, end - at)
 
 
 def scan(data: bytes, at: int = HEADER.size) -> Iterator[Record | tuple[int, int]]:
@@ -228,7 +241,7 @@
     at = _ENTRY.size
     ref = payload[at:at + ref_size].decode()
     at += ref_size
-    klass = payload[at:at + klass_size].decode()
+    klass = sys.intern(payload[at:at + klass_size].decode())  # a few names, in every message
     at += klass_size
     key = None
     if key_size != NO_KEY:
--- a/tests/upgrade/test_upgrade.py
+++ b/tests/upgrade/test_upgrade.py
@@ -202,3 +202,72 @@
         "pay": "dead", "key": "dead", "safe": "bounced", "failed": "dead"}
     assert await relay.end(signal.SIGTERM) == 0
     assert field.host.calls.empty() and field.platform.notices.empty()
+
+
+def hello(field: Field) -> p.Frame:
+    """What a new process is answered."""
+    door = Door(field.state)
+    channel = door.call()
+    door.close()
+    assert channel is not None
+    channel.send(p.Hello([p.VERSION]))
+    frame, descriptors = channel.receive(20)
+    for descriptor in descriptors:
+        os.close(descriptor)
+    channel.close()
+    return frame
+
+
+async def test_one_that_stops_is_not_handed_over(field: Field, relay: Upgraded) -> None:
+    client = await relay.start()
+    assert await client.enqueue("held") == b"OK"
+    await field.host.next_call()  # it has something to wait for
+    await relay.send(signal.SIGTERM, b"stopping")
+    frame = await asyncio.to_thread(hello, field)
+    assert isinstance(frame, p.Refused) and "stopping" in frame.why
+
+
+async def test_folder_that_takes_no_records_is_not_handed_over(field: Field) -> None:
+    """A new process could not put on record what it does either; the old one goes on with what it has."""
+    field.operators = True
+    await field.start()
+    field.relays[0].journal.broken = True
+    frame = await asyncio.to_thread(hello, field)
+    assert isinstance(frame, p.Refused) and "no records" in frame.why
+
+
+async def test_limit_of_memory_that_does_not_bear_both(field: Field) -> None:
+    field.operators = True
+    field.limits["memory_mb"] = 20
+    await field.start()
+    frame = await asyncio.to_thread(hello, field)
+    assert isinstance(frame, p.Refused) and "MB do not bear both" in frame.why
+
+
+async def test_of_two_upgrades_at_once_one_comes_about(field: Field, relay: Upgraded) -> None:
+    client = await relay.start()
+    assert await client.enqueue("pay", "unsafe") == b"OK"
+    call = await field.host.next_call()
+    children = [await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "garnetrelay", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+        env={**os.environ, **field.environment(relay.port)}) for _ in range(2)]
+    relay.older += children
+    logs = [asyncio.create_task(_first(child, (b"serves on", b"cannot start"))) for child in children]
+    said = sorted([await log for log in logs])
+    # One after the other is right as well: the second has the relay from the first then.
+    assert said in ([b"cannot start", b"serves on"], [b"serves on", b"serves on"])
+    call.answer(200)
+    assert await client.ask("PING") == b"PONG" and await client.enqueue("after") == b"OK"
+    (await field.host.next_call()).answer(200)
+    assert field.platform.notices.empty()
+
+
+async def _first(child: asyncio.subprocess.Process, texts: tuple[bytes, ...]) -> bytes:
+    """The first of these that a process says."""
+    assert child.stderr is not None
+    async with asyncio.timeout(20):
+        while line := await child.stderr.readline():
+            for text in texts:
+                if text in line:
+                    return text
+    return b""
