--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -380,7 +380,8 @@
 
     def take_up(self, m: Message, name: str, zone: int, sent_at: int) -> None:
         """A call that was sent before this Pacer was made: it holds its slot, also at a host that is gone."""
-        dest, host = self.hosts.get(name) or (Destination(m.dest, 1), Host(name, zone, usable=False))
+        gone = (Destination(m.dest, 1), Host(name, zone, usable=False))
+        dest, host = self.hosts.get(name, gone)
         m.call = call = Call(dest, host, sent_at, [m], open=1, beside=host.calls)
         self.calls[call] = None
         host.calls += 1
