--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -21,9 +21,9 @@
 
 from starlingwick.hold import NEVER, Due, Key, Lane, Queue, Ranking
 from starlingwick.interface import (
-    Action, Alarm, Arrived, Availability, Cancel, Close, Decay, Discovery, Event, Excluded, Fail, HostEntry,
-    Lagging, ListScope, Log, MessageClass, Probe, Probed, Recovered, Refuse, Repeat, Report, Roster, Scope, Send,
-    Settings, Status, Stopping, Subscribe, Verdict, Wake, Withdrawn,
+    Action, Alarm, Arrived, Availability, Cancel, Close, Decay, Discovery, Event, Excluded, Fail,
+    HostEntry, Lagging, ListScope, Log, MessageClass, Probe, Probed, Recovered, Refuse, Repeat, Report,
+    Roster, Scope, Send, Settings, Status, Stopping, Subscribe, Verdict, Wake, Withdrawn,
 )
 
 SECOND = 1_000_000_000
@@ -300,8 +300,8 @@
             dest.agreed = dest.listed = entry.rate
 
     def on_excluded(self, event: Excluded) -> None:
-        """By hand a host drains until the call that puts it back. It was restarted meanwhile and is cold: so is
-        all that is paced with it, unless others there served on."""
+        """By hand a host drains until the call that puts it back. It was restarted meanwhile and is cold: so
+        is all that is paced with it, unless others there served on."""
         (self.excluded.add if event.out else self.excluded.discard)(event.host)
         if event.host not in self.hosts:
             return
--- a/starlingwick/interface.py
+++ b/starlingwick/interface.py
@@ -227,8 +227,8 @@
     """A message that an earlier life of this relay took on and did not end.
 
     ``ran_ago`` is how long ago its first attempt that may have run was sent, None if none may have;
-    ``ran_zone`` is that attempt's zone. ``host`` names where an attempt is out still, since ``sent_at``: it passed
-    from process to process with its connection, and its verdict is yet to come.
+    ``ran_zone`` is that attempt's zone. ``host`` names where an attempt is out still, since ``sent_at``: it
+    passed from process to process with its connection, and its verdict is yet to come.
     """
 
     call: str
--- a/starlingwick/memory.py
+++ b/starlingwick/memory.py
@@ -1,7 +1,8 @@
-"""What a Pacer knows of its destinations and hosts, as plain values, to be given to another Pacer. Decides nothing.
+"""What a Pacer knows of its destinations and hosts, as plain values for another Pacer. Decides nothing.
 
-Times are those of the clock that the Pacer was driven by: the other has to be driven by the same one. Values go by the
-names of their fields; what the other does not know by name is left out, what is missing stays as at a start.
+Times are those of the clock that the Pacer was driven by: the other has to be driven by the same one. Values
+go by the names of their fields; what the other does not know by name is left out, what is missing stays as
+at a start.
 """
 
 from __future__ import annotations
@@ -13,9 +14,9 @@
 
 VERSION = 1
 
-DESTINATION = ("agreed", "listed", "reports", "ceiling", "ceiling_at", "cut_at", "next_call", "mean", "wait_until",
-               "rest", "rest_until", "pause_at", "refused_from", "bad", "bad_from", "bad_at", "out", "ramp_from",
-               "part", "next_at")
+DESTINATION = ("agreed", "listed", "reports", "ceiling", "ceiling_at", "cut_at", "next_call", "mean",
+               "wait_until", "rest", "rest_until", "pause_at", "refused_from", "bad", "bad_from", "bad_at",
+               "out", "ramp_from", "part", "next_at")
 MARKS = ("refusals", "sent", "arrived", "served")  # times, oldest first
 HOST = ("gap", "last_sent", "last_ok_sent", "bad", "most", "most_until", "retry_at")
 
