An upgraded relay that is upgraded again says goodbye to the process before it

Cause: the first process, left alive, took the end of the second one for a death and took the relay back by an upgrade of its own.

--- a/garnetrelay/upgrade/give.py
+++ b/garnetrelay/upgrade/give.py
@@ -189,6 +189,8 @@
     def _give(self, channel: Channel, listener: socket.socket) -> p.Step:
         relay = self.relay
         step = self.state.given()
+        if relay.hearing is not None:
+            relay.hearing.bye()  # the process before this one must not take its end for a death
         relay.retire()
         claim = relay.journal.hand_over()
         try:
--- a/tests/upgrade/test_upgrade.py
+++ b/tests/upgrade/test_upgrade.py
@@ -204,6 +204,18 @@
     assert field.host.calls.empty() and field.platform.notices.empty()
 
 
+async def test_process_before_the_last_does_not_take_the_relay_back(field: Field, relay: Upgraded) -> None:
+    """Two upgrades in a row, and nobody has ended the first process: that the second one goes is no death to it."""
+    client = await relay.start()
+    await relay.replace()
+    await relay.replace()
+    async with asyncio.timeout(5):  # far less than the time that it would go on answering staff
+        assert await relay.older[0].wait() == 0
+    relay.older[1].send_signal(signal.SIGTERM)
+    assert await relay.older[1].wait() == 0
+    assert await client.ask("PING") == b"PONG" and relay.child is not None and relay.child.returncode is None
+
+
 def hello(field: Field) -> p.Frame:
     """What a new process is answered."""
     door = Door(field.state)
