Back: a full table of connections counts as a refusal until its destination has reported

Taken for refusals they make a relay rest for seconds; taken for a full table it comes again within one, and there is no room then either. Next: whether all such calls should rest by the relay's turn.

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -100,6 +100,7 @@
     hosts: list[Host] = field(default_factory=list)
     agreed: float = 0.0  # calls a second it takes from all relays, as listed; 0: unknown
     listed: float = 0.0  # the same, as listed or reported
+    reports: bool = False  # its answers tell a limit
     ceiling: float | None = None  # calls a second of this relay
     ceiling_at: int = 0  # when the ceiling last changed
     cut_at: int = 0  # when it was last cut
@@ -202,7 +203,6 @@
         self.excluded: set[str] = set()  # hosts that staff took out by hand, listed or not
         self.freed: list[Host] = []  # hosts whose call ended this turn
         self.calls: dict[Call, None] = {}  # out, oldest first: each holds a slot
-        self.reports = False  # answers here tell what is left of limits, those of some destination at least
         self.tenant_due = [0] * len(settings.tenant_rates)  # when the next message is within the share
         self.ask_at = NEVER
         self.ask_step = self.first_step()
@@ -641,9 +641,8 @@
         """What one call's outcome says of its destination and host."""
         dest, host = call.dest, call.host
         left: float | None = None  # share of the limit, where one is reported
-        self.reports = self.reports or report is not None
         if report is not None and self.is_plausible(dest, report):
-            dest.listed, left = report.limit, report.left
+            dest.listed, left, dest.reports = report.limit, report.left, True
             weight = 1 - math.exp((dest.left_at - self.now) / CLIMB_EVERY)
             dest.left += weight * (min(left, 1.0) - dest.left)
             dest.left_at = self.now
@@ -660,7 +659,7 @@
                 if self.late_after(dest) < late and dest.calls:
                     self.blame_at = 0  # its calls may be overdue sooner, or be so already
             self.judge(dest, host, True)
-        elif status is Status.CROWDED and self.reports:
+        elif status is Status.CROWDED and dest.reports:
             lately = host.most if self.now < host.most_until else NEVER
             host.most, host.most_until = max(1, min(lately, call.beside)), self.now + CROWD_REST
         elif status in (Status.FULL, Status.CROWDED):
--- a/starlingwick/memory.py
+++ b/starlingwick/memory.py
@@ -14,7 +14,7 @@
 
 VERSION = 1
 
-DESTINATION = ("agreed", "listed", "ceiling", "ceiling_at", "cut_at", "next_call", "mean",
+DESTINATION = ("agreed", "listed", "reports", "ceiling", "ceiling_at", "cut_at", "next_call", "mean",
                "wait_until", "rest", "rest_until", "pause_at", "refused_from", "bad", "bad_from", "bad_at",
                "out", "ramp_from", "part", "next_at")
 MARKS = ("refusals", "sent", "arrived", "served")  # times, oldest first
@@ -26,7 +26,6 @@
     return {
         "version": VERSION,
         "started": pacer.started,
-        "reports": pacer.reports,
         "tenant_due": list(pacer.tenant_due),
         "turn_rest": dict(pacer.turn_rest),
         "destinations": [
@@ -43,7 +42,6 @@
     if memory.get("version") != VERSION:
         return
     pacer.started = memory["started"]
-    pacer.reports = memory.get("reports", False)
     due = memory["tenant_due"]
     if len(due) == len(pacer.tenant_due):
         pacer.tenant_due = list(due)
