Relays that know each other: failure detection, views, conditions, behind a [fleet] table

Change: garnetrelay/fleet/. Decisions without I/O, clock or randomness of their own in fleet/members/: SWIM with Lifeguard (probes in shuffled rounds, indirect probes, suspicion that shrinks as others confirm, refutation, local health, piggyback with bounded repeats, full exchanges), lives kept in the state folder, conditions with a table of what may be relied on, the age of each member's word, paths that work one way told apart from failures. Frames are versioned, bounded, signed. Driver over UDP and TCP; hooks in the relay (start, leave on SIGTERM, secrets re-read on SIGHUP, identity passed on by an upgrade), `garnetrelay fleet members|explain|leave`, figures, check-config. Off: nothing of it is imported.

--- a/garnetrelay/cli/commands.py
+++ b/garnetrelay/cli/commands.py
@@ -8,6 +8,7 @@
 
 SUBCOMMANDS = {
     "check-config": "garnetrelay.cli.check_config",
+    "fleet": "garnetrelay.cli.fleet",
     "journal": "garnetrelay.cli.journal",
     "operators": "garnetrelay.cli.operators",
     "rehearse": "garnetrelay.cli.rehearse",
--- a/garnetrelay/config/deployment.py
+++ b/garnetrelay/config/deployment.py
@@ -8,16 +8,20 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from starlingwick import interface as io
 from starlingwick.settings import parse_settings
 
+if TYPE_CHECKING:
+    from garnetrelay.config.fleet import Fleet
 
 # Descriptors that are neither a client's nor a host's: standard streams, the loop's own, the journal old and
 # new, discovery and notices, old and new as they move (16); clients accepted ahead of a look at them, and as
 # many that are told that there is no room (32).
 RESERVED = 48
+FLEET = 16  # more where relays know each other: as ``config/fleet.py`` has them
+FLEET_FILE = 4096  # bytes of the folder for the life number, old and new
 OPERATORS = 10  # more where staff may call: a listener, their calls, and some that wait to be told no
 
 
@@ -63,11 +67,18 @@
     settings: io.Settings
     operators: Address | None = None  # where staff call; None: nowhere
     machine_durable: bool = False  # what is promised outlasts the machine's power, not only the process
+    fleet: Fleet | None = None  # relays that know each other; None: each for itself
 
     @property
     def shared_sockets(self) -> int:
         """Descriptors for clients and hosts together."""
-        return max(8, self.sockets - RESERVED - (OPERATORS if self.operators is not None else 0))
+        return max(8, self.sockets - RESERVED - (OPERATORS if self.operators is not None else 0)
+                   - (FLEET if self.fleet is not None else 0))
+
+    @property
+    def journal_bytes(self) -> int:
+        """What of the folder the store may use."""
+        return self.disk_bytes - (FLEET_FILE if self.fleet is not None else 0)
 
     @property
     def client_sockets(self) -> int:
@@ -104,10 +115,10 @@
         return config
     from garnetrelay.config.options import read  # where nothing is switched on, nothing of it is loaded
     try:
-        options = read(Path(environment["RELAY_OPTIONS"]))
+        options, fleet = read(Path(environment["RELAY_OPTIONS"]), config.name)
     except ValueError as error:
         raise ConfigError(str(error)) from None
-    return dataclasses.replace(config, machine_durable=options.store.durability == "machine")
+    return _fitted(dataclasses.replace(config, machine_durable=options.store.durability == "machine", fleet=fleet))
 
 
 def reload(environment: Mapping[str, str]) -> Config:
@@ -142,6 +153,10 @@
         known=raw.get("known"),
         settings=dataclasses.replace(settings, kinds=kinds),
     )
-    # A call out holds a connection: no more of them than there are descriptors.
-    slots = min(settings.slots, max(1, config.host_sockets - 8))
+    return _fitted(config)
+
+
+def _fitted(config: Config) -> Config:
+    """A call out holds a connection: no more of them than there are descriptors."""
+    slots = min(config.settings.slots, max(1, config.host_sockets - 8))
     return dataclasses.replace(config, settings=dataclasses.replace(config.settings, slots=slots))
--- /dev/null
+++ b/garnetrelay/config/fleet.py
@@ -0,0 +1,96 @@
+"""The `[fleet]` table of RELAY_OPTIONS: relays that know each other. Loaded only where the file has it."""
+
+from __future__ import annotations
+
+import ipaddress
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from garnetrelay.fleet.members.claims import MOST_NAME, Place
+from garnetrelay.fleet.members.frames import LEAST_SECRET
+from garnetrelay.fleet.members.settings import MS, SECOND, Settings
+
+MOST_SEEDS = 16
+MOST_SECRETS = 2  # during a change
+DESCRIPTORS = 16  # a datagram socket, a listener, exchanges (12), the life on its way to the disk
+
+
+class FleetTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """As the file has it."""
+
+    listen: str  # IP:port for datagrams and full exchanges
+    secret_file: str  # a line with a secret, or two during a change: the first signs, both are good
+    advertise: str = ""  # IP:port where the others reach this relay, if not where it listens
+    seeds: Annotated[list[str], Meta(max_length=MOST_SEEDS)] = []  # whom to ask at the start
+    probe_every_ms: Annotated[int, Meta(ge=20, le=60_000)] = 1000
+    probe_timeout_ms: Annotated[int, Meta(ge=5, le=30_000)] = 300
+    suspicion: Annotated[float, Meta(ge=1, le=20)] = 4.0
+    forget_s: Annotated[int, Meta(ge=1, le=86_400)] = 600
+    most_members: Annotated[int, Meta(ge=2, le=1000)] = 1000
+    frames: Literal[1, 2] = 2  # the highest version that is spoken: 1 while relays of before are in the fleet
+
+
+class Fleet(msgspec.Struct, frozen=True):
+    """The same, checked."""
+
+    listen: Place  # port 0: any
+    advertise: Place | None
+    seeds: tuple[Place, ...]
+    secret_file: Path
+    settings: Settings
+
+    def secrets(self) -> list[bytes]:
+        """What the file has now; ValueError in one line."""
+        return read_secrets(self.secret_file)
+
+
+def read_secrets(path: Path) -> list[bytes]:
+    """The secrets of a file, the one that signs first."""
+    try:
+        lines = [line.strip() for line in path.read_bytes().splitlines() if line.strip()]
+    except OSError as error:
+        raise ValueError(f"{path}: {error.strerror}") from None
+    if not 1 <= len(lines) <= MOST_SECRETS:
+        raise ValueError(f"{path}: {len(lines)} lines; a secret stands in one, a second one is good during a change")
+    for number, line in enumerate(lines, 1):
+        if len(line) < LEAST_SECRET:
+            raise ValueError(f"{path}:{number}: a secret has {LEAST_SECRET} bytes at least")
+    if len(set(lines)) < len(lines):
+        raise ValueError(f"{path}: the two secrets are the same")
+    return lines
+
+
+def check(table: FleetTable, folder: Path, name: str) -> Fleet:
+    """The table as it is used; ValueError in one line. ``folder``: where relative paths begin."""
+    if not 1 <= len(name) <= MOST_NAME or not name.isascii() or not name.isprintable() or " " in name:
+        raise ValueError(f"fleet: the relay's name '{name[:80]}' is not 1 to {MOST_NAME} printable characters")
+    if table.probe_timeout_ms * 2 > table.probe_every_ms:
+        raise ValueError("fleet.probe_timeout_ms: half of probe_every_ms at most")
+    listen = place(table.listen, "listen", zero=True)
+    seeds = tuple(place(seed, "seeds") for seed in table.seeds)
+    if len(set(seeds)) < len(seeds):
+        raise ValueError("fleet.seeds: one stands twice")
+    secret_file = folder / table.secret_file
+    read_secrets(secret_file)
+    return Fleet(
+        listen, place(table.advertise, "advertise") if table.advertise else None, seeds, secret_file,
+        Settings(probe_every=table.probe_every_ms * MS, probe_timeout=table.probe_timeout_ms * MS,
+                 suspicion=table.suspicion, forget_after=table.forget_s * SECOND, most_members=table.most_members,
+                 exchange_every=30 * table.probe_every_ms * MS, versions=table.frames))
+
+
+def place(text: str, what: str, zero: bool = False) -> Place:
+    """IP:port; names are not looked up."""
+    host, _, port = text.rpartition(":")
+    try:
+        address = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        raise ValueError(f"fleet.{what}: '{text}' is not IP:port") from None
+    if not (port.isascii() and port.isdigit() and (0 if zero else 1) <= int(port) <= 65535):
+        raise ValueError(f"fleet.{what}: '{text}' is not IP:port")
+    if address.is_unspecified and not zero:
+        raise ValueError(f"fleet.{what}: nobody can be reached at '{text}'")
+    return Place(str(address), int(port))
--- /dev/null
+++ b/garnetrelay/fleet/members/effects.py
@@ -0,0 +1,43 @@
+"""What the decisions ask to be done."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+
+from garnetrelay.fleet.members.claims import Place
+from garnetrelay.fleet.members.frames import Frame
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """A datagram."""
+
+    place: Place
+    frame: Frame
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """A full exchange with whoever hears there."""
+
+    place: Place
+
+
+@dataclass(frozen=True, slots=True)
+class KeepLife:
+    """Put a life on record; then say that it is kept."""
+
+    life: int
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """A line for the log."""
+
+    text: str
+    level: int = logging.INFO
+
+
+Effect = Tell | Exchange | KeepLife | Note
--- /dev/null
+++ b/garnetrelay/fleet/members/frames.py
@@ -0,0 +1,207 @@
+"""What members send each other: typed, versioned, bounded, and signed with a secret that the fleet shares. No I/O.
+
+    bytes 0-1 "GF", 2 version, 3 number of the secret, 4-19 keyed digest (HMAC-SHA256, RFC 2104, its first 16 bytes, over
+    version and body), then the body: a MessagePack array that begins with the frame's kind.
+
+Version 1 has claims alone; version 2 adds what a view is worth (`summary`, `words`). A member says in its claim which it
+reads; a pair speaks the lower of the two, and strangers speak version 1. What is wrong with a frame is told by one of the
+causes below; nothing of such a frame is used.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import struct
+from collections.abc import Iterable
+from typing import Annotated, Any, NamedTuple
+
+import msgspec
+from msgspec import Meta
+
+from garnetrelay.fleet.members.claims import Claim, Host, Incarnation, Life, Name, NameOrNone, Port, Process
+
+MAGIC = b"GF"
+VERSIONS = (1, 2)
+HEAD = 20  # bytes before the body
+MOST_DATAGRAM = 1200  # bytes, head and all: fits an IPv6 packet of the least MTU (RFC 8200, section 5)
+MOST_EXCHANGE = 1 << 20  # bytes of a frame over TCP: 2,000 members of the longest names, and more
+MOST_CLAIMS = 4096
+MOST_WORDS = 48
+WORD = struct.Struct(">IHHI")
+AGE_STEP = 20  # milliseconds
+OLDEST_WORD = 0xFFFF * AGE_STEP  # milliseconds; what is older is not told
+MOST_AGE = 1 << 31  # milliseconds
+LEAST_SECRET = 16  # bytes
+
+Number = Annotated[int, Meta(ge=0, le=1 << 62)]
+Age = Annotated[int, Meta(ge=-1, le=MOST_AGE)]
+
+
+class Word(NamedTuple):
+    """That a member was there: 48 bits of its name and life hashed, the age at most (milliseconds), 32 bits of its view
+    then."""
+
+    whom: int
+    age: int
+    view: int
+
+
+def pack_words(words: Iterable[Word]) -> bytes:
+    """12 bytes each: 6 of the member, 2 of the age in steps of 20 ms (rounded up), 4 of the view."""
+    return b"".join(WORD.pack(word.whom >> 16, word.whom & 0xFFFF, -(-word.age // AGE_STEP), word.view) for word in words)
+
+
+def unpack_words(data: bytes) -> list[Word]:
+    """What ``pack_words`` made."""
+    return [Word(high << 16 | low, age * AGE_STEP, view) for high, low, age, view in WORD.iter_unpack(data)]
+
+
+class Summary(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """The sender's view in short: a fingerprint of who is in it, and how many they are."""
+
+    view: Annotated[int, Meta(ge=0, lt=1 << 32)]
+    members: Annotated[int, Meta(ge=0, le=1 << 16)]
+
+
+class Frame(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """What each frame has: who sends it, in an order of its own, and what it has to tell of others."""
+
+    sender: Claim
+    sequence: Number  # of the sender's process: counts up with each frame
+    number: Number  # of the question that is asked or answered
+    claims: Annotated[list[Claim], Meta(max_length=MOST_CLAIMS)] = []
+    summary: Summary | None = None
+    words: Annotated[bytes, Meta(max_length=MOST_WORDS * WORD.size)] = b""
+
+
+class Ping(Frame, tag=1, frozen=True, kw_only=True):
+    """Are you there?"""
+
+    origin: NameOrNone = ""  # whoever wants to know, where the sender asks for another
+
+
+class Ack(Frame, tag=2, frozen=True, kw_only=True):
+    """I am. ``heard``: how long ago (ms) the origin was last heard without a go-between; -1: never."""
+
+    heard: Age = -1
+
+
+class AskFor(Frame, tag=3, frozen=True, kw_only=True):
+    """Ask that member for me: I get no answer."""
+
+    target: Name
+    host: Host
+    port: Port
+
+
+class Vouch(Frame, tag=4, frozen=True, kw_only=True):
+    """It answered me, in this life. ``heard`` as it said."""
+
+    target: Name
+    life: Life
+    process: Process
+    incarnation: Incarnation
+    heard: Age = -1
+
+
+class Nack(Frame, tag=5, frozen=True, kw_only=True):
+    """I have asked, and nothing has come: the fault is not that I don't hear you."""
+
+
+class Hello(Frame, tag=6, frozen=True, kw_only=True):
+    """Begins a full exchange."""
+
+
+class Whole(Frame, tag=7, frozen=True, kw_only=True):
+    """All that the sender holds. ``number`` is the other side's, ``ask`` its own, for the answer."""
+
+    ask: Number
+
+
+AnyFrame = Ping | Ack | AskFor | Vouch | Nack | Hello | Whole
+EXCHANGE = (Hello, Whole)
+
+
+class Refused(ValueError):
+    """A frame that is not used; ``cause`` is one word for the figures."""
+
+    def __init__(self, cause: str) -> None:
+        super().__init__(cause)
+        self.cause = cause
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(AnyFrame)
+
+
+class Codec:
+    """Frames to bytes and back. The first secret signs; both are good."""
+
+    def __init__(self, secrets: list[bytes]) -> None:
+        self.signing = secrets[0]
+        self.good = [(_number(secret), secret) for secret in secrets]
+
+    def encode(self, frame: Frame, version: int) -> bytes:
+        """A frame as it goes out; what the version does not have is left out."""
+        if version == 1 and (frame.summary is not None or frame.words):
+            frame = msgspec.structs.replace(frame, summary=None, words=b"")
+        body = _encoder.encode(frame)
+        return b"%s%c%c%s%s" % (MAGIC, version, _number(self.signing), _digest(self.signing, version, body), body)
+
+    def decode(self, data: bytes, exchange: bool = False) -> AnyFrame:
+        """The frame; Refused with a cause. ``exchange``: it came over TCP."""
+        if len(data) > (MOST_EXCHANGE if exchange else MOST_DATAGRAM):
+            raise Refused("long")
+        if len(data) <= HEAD or data[:2] != MAGIC:
+            raise Refused("foreign")
+        version = data[2]
+        if version not in VERSIONS:
+            raise Refused("version")
+        body = data[HEAD:]
+        if not any(number == data[3] and hmac.compare_digest(_digest(secret, version, body), data[4:HEAD])
+                   for number, secret in self.good):
+            raise Refused("secret")
+        try:
+            frame: AnyFrame = _decoder.decode(body)
+        except (msgspec.DecodeError, RecursionError):
+            raise Refused("malformed") from None
+        if version == 1 and (frame.summary is not None or frame.words) or isinstance(frame, EXCHANGE) != exchange:
+            raise Refused("malformed")
+        if frame.sender.status or len(frame.words) % WORD.size:
+            raise Refused("malformed")
+        if any(claim.born > claim.life for claim in (frame.sender, *frame.claims)):
+            raise Refused("malformed")
+        return frame
+
+
+def _number(secret: bytes) -> int:
+    return hashlib.sha256(b"garnetrelay fleet" + secret).digest()[0]
+
+
+def _digest(secret: bytes, version: int, body: bytes) -> bytes:
+    return hmac.digest(secret, b"%c" % version + body, "sha256")[:16]
+
+
+class Window:
+    """Which of a sender's numbers have been seen: a frame is taken once, late ones within 256 (as RFC 4303, 3.4.3)."""
+
+    __slots__ = ("highest", "seen")
+    WIDTH = 256
+
+    def __init__(self, highest: int = -1) -> None:
+        self.highest = highest
+        self.seen = 1 if highest >= 0 else 0
+
+    def take(self, number: int) -> bool:
+        """Whether it is new; it counts as seen from now on."""
+        ahead = number - self.highest
+        if ahead > 0:
+            self.seen = ((self.seen << ahead) | 1) & ((1 << self.WIDTH) - 1) if ahead < self.WIDTH else 1
+            self.highest = number
+            return True
+        bit = 1 << -ahead if -ahead < self.WIDTH else 0
+        if not bit or self.seen & bit:
+            return False
+        self.seen |= bit
+        return True
--- /dev/null
+++ b/garnetrelay/fleet/service.py
@@ -0,0 +1,218 @@
+"""One relay in its fleet: carries out what `members/` decides. Imported only where `[fleet]` is switched on."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import logging
+import random
+import secrets
+import time
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from garnetrelay.config.fleet import Fleet as FleetConfig
+from garnetrelay.fleet import words
+from garnetrelay.fleet.life import MOST_PLACES, LifeFile
+from garnetrelay.fleet.members import frames as fr
+from garnetrelay.fleet.members.claims import Claim, Place, Status
+from garnetrelay.fleet.members.effects import Effect, Exchange, KeepLife, Note, Tell
+from garnetrelay.fleet.members.protocol import Members
+from garnetrelay.fleet.transport import EXCHANGE_TIME, Stream, Transport
+
+log = logging.getLogger(__name__)
+
+MOST_TASKS = 64
+AHEAD = 1 << 20  # numbers that an upgraded process leaves out: its forerunner may have used some more
+
+
+class Passing(msgspec.Struct):
+    """What one process of a relay hands to the next: the same member goes on."""
+
+    own: Claim
+    sequence: int
+    claims: list[Claim]
+
+
+class Fleet:
+    """A member."""
+
+    def __init__(self, config: FleetConfig, name: str, state: Path, sync: bool,
+                 passed: dict[str, Any] | None = None) -> None:
+        self.config = config
+        self.name = name
+        self.file = LifeFile(state, sync)
+        self.closed = False
+        self.transport = Transport(fr.Codec(config.secrets()), self._heard)
+        self.members: Members | None = None
+        self._passed = None if passed is None else msgspec.convert(passed, Passing)
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> Place:
+        """Take the address, keep the life number, and begin. OSError where either can't be."""
+        found = await self.transport.start(self.config.listen, self._answer)
+        place = self.config.advertise or found
+        kept = self.file.read()
+        seeds = list(self.config.seeds)
+        if kept is not None:  # the seeds may all be down: others were there in an earlier life
+            seeds += [Place(*each) for each in kept.places if Place(*each) not in seeds]
+        now = time.monotonic_ns()
+        if self._passed is None:
+            life = 1 if kept is None else kept.life + 1
+            self.file.keep(life, seeds)
+            own = Claim(self.name, life, secrets.randbits(32), life, 0, Status.ALIVE, place.host, place.port,
+                        self.config.settings.versions)
+            self.members = Members(own, self.config.settings, random.Random(secrets.randbits(64)), now, seeds)
+        else:
+            passed = self._passed
+            own = msgspec.structs.replace(passed.own, host=place.host, port=place.port,
+                                          speaks=self.config.settings.versions)
+            self.members = Members(own, self.config.settings, random.Random(secrets.randbits(64)), now, seeds,
+                                   passed.sequence + AHEAD)
+            self._carry_out(self.members.go_on_from(now, passed.claims))
+        log.info("fleet: %s hears at %s, life %d", self.name, found, own.life)
+        self._tick()
+        return found
+
+    def leave(self) -> None:
+        """Tell the others that this life ends."""
+        if self.members is not None and not self.closed:
+            self._carry_out(self.members.leave(time.monotonic_ns()))
+
+    def close(self) -> None:
+        """Say and hear nothing any more; the address is free at once."""
+        self.closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self.transport.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def passing(self) -> dict[str, Any] | None:
+        """This member, for the process that goes on as it; None where it has no part in the fleet now."""
+        members = self.members
+        if members is None or not members.own.named:
+            return None
+        found = Passing(members.own.claim, members.sequence, list(members.table.claims()))
+        return msgspec.to_builtins(found)  # type: ignore[no-any-return]
+
+    def read_secrets(self) -> None:
+        """SIGHUP: the secrets as their file has them now; one that can't be used changes nothing."""
+        try:
+            self.transport.codec = fr.Codec(self.config.secrets())
+        except ValueError as error:
+            log.error("fleet: the old secrets stay: %s", error)
+        else:
+            log.info("fleet: %d secrets read", len(self.transport.codec.good))
+
+    # ---- staff
+
+    def listing(self) -> str:
+        """This relay and all others, a JSON object a line."""
+        assert self.members is not None
+        now = time.monotonic_ns()
+        return "\n".join(msgspec.json.encode(each).decode() for each in (
+            words.state(self.members, now), *words.lines(self.members, now))) + "\n"
+
+    def explain(self, name: str) -> list[str] | None:
+        """Why a member is held for what it is."""
+        assert self.members is not None
+        return words.explain(self.members, name, time.monotonic_ns())
+
+    def figures(self) -> str:
+        assert self.members is not None
+        transport = self.transport
+        return words.figures(self.members, transport.refused, transport.frames_out, transport.bytes_in,
+                             transport.bytes_out, time.monotonic_ns())
+
+    # ---- what happens
+
+    def _heard(self, frame: fr.AnyFrame, source: Place) -> None:
+        if self.members is not None and not self.closed:
+            self._carry_out(self.members.receive(time.monotonic_ns(), frame, source))
+
+    def _tick(self) -> None:
+        if self.members is not None and not self.closed:
+            self._carry_out(self.members.tick(time.monotonic_ns()))
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        assert self.members is not None
+        for effect in effects:
+            match effect:
+                case Tell(place, frame, version):
+                    self.transport.send(place, frame, version)
+                case Exchange(place):
+                    self._spawn(self._exchange(place))
+                case KeepLife(life):
+                    self._spawn(self._keep(life))
+                case Note(text, level):
+                    log.log(level, "fleet: %s", text)
+        if self._timer is not None:
+            self._timer.cancel()
+        if not self.closed:
+            self._timer = self._loop.call_at(self.members.next_at / 1e9, self._tick)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        if len(self._tasks) >= MOST_TASKS or self.closed:
+            work.close()
+            return
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _keep(self, life: int) -> None:
+        """On record first, then used."""
+        assert self.members is not None
+        places = [member.claim.place for member in self.members.table.members.values()][:MOST_PLACES]
+        try:
+            await self._loop.run_in_executor(None, functools.partial(self.file.keep, life, places))
+        except OSError as error:
+            if not self.closed:
+                self._carry_out(self.members.life_not_kept(time.monotonic_ns(), error.strerror or str(error)))
+            return
+        if not self.closed:
+            self._carry_out(self.members.life_kept(time.monotonic_ns(), life))
+
+    async def _exchange(self, place: Place) -> None:
+        """Hello, Whole, Whole: this side begins."""
+        assert self.members is not None
+        stream: Stream | None = None
+        try:
+            async with asyncio.timeout(EXCHANGE_TIME):
+                stream = await self.transport.begin(place)
+                if stream is None:
+                    return
+                began = time.monotonic_ns()
+                hello = self.members.hello(began)
+                await stream.send(hello, 1)
+                whole = await stream.receive()
+                if not isinstance(whole, fr.Whole):
+                    raise ValueError(f"{type(whole).__name__} in place of all that it holds")
+                ours, effects = self.members.hear_whole(time.monotonic_ns(), whole, hello.number, began)
+                self._carry_out(effects)
+                await stream.send(ours, min(whole.sender.speaks, self.config.settings.versions))
+        except (OSError, TimeoutError, EOFError, ValueError) as error:
+            log.debug("fleet: no exchange with %s: %s", place, error or type(error).__name__)
+        finally:
+            if stream is not None:
+                stream.close()
+                self.transport.ended()
+
+    async def _answer(self, stream: Stream) -> None:
+        """The other side begins."""
+        hello = await stream.receive()
+        if not isinstance(hello, fr.Hello) or self.members is None or self.closed:
+            raise ValueError("not a hello")
+        asked_at = time.monotonic_ns()
+        whole = self.members.answer_hello(asked_at, hello)
+        await stream.send(whole, min(hello.sender.speaks, self.config.settings.versions))
+        theirs = await stream.receive()
+        if not isinstance(theirs, fr.Whole) or self.closed:
+            raise ValueError("not all that it holds")
+        _, effects = self.members.hear_whole(time.monotonic_ns(), theirs, whole.ask, asked_at)
+        self._carry_out(effects)
--- /dev/null
+++ b/garnetrelay/fleet/transport.py
@@ -0,0 +1,190 @@
+"""The fleet's only sockets: datagrams, and TCP for full exchanges, on one address.
+
+Bounded: frames read in a round and in a second, exchanges at once in each direction, the bytes and the time of one. What
+goes over is dropped and counted; every frame may be lost anyhow.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import struct
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+from garnetrelay.fleet.members import frames as fr
+from garnetrelay.fleet.members.claims import Place
+
+log = logging.getLogger(__name__)
+
+ROUND = 64  # datagrams read in a round of the loop
+MOST_A_SECOND = 4000  # datagrams taken; 1,000 members that all ask at once
+MOST_ANSWERED = 8  # exchanges that others began
+MOST_BEGUN = 2
+EXCHANGE_TIME = 3.0  # seconds for the whole of one
+READ_BUFFER = 1 << 18  # bytes of the kernel's, for a process that was stopped for a while
+LENGTH = struct.Struct(">I")
+BIND_TRIES = 40  # an upgraded process has just let go of the address
+BIND_PAUSE = 0.05
+
+Hears = Callable[[fr.AnyFrame, Place], None]
+
+
+class Transport:
+    """Frames in and out of one process."""
+
+    def __init__(self, codec: fr.Codec, hears: Hears) -> None:
+        self.codec = codec
+        self.refused: Counter[str] = Counter()
+        self.bytes_in = self.bytes_out = self.frames_out = 0
+        self._hears = hears
+        self._loop = asyncio.get_running_loop()
+        self._datagrams: socket.socket | None = None
+        self._server: asyncio.Server | None = None
+        self._host = ""
+        self._answering = 0
+        self._begun = 0
+        self._second = 0
+        self._taken = 0
+
+    async def start(self, listen: Place, answer: Callable[[Stream], Awaitable[None]]) -> Place:
+        """Take the address; the one that came of it. ``answer`` is called for each exchange that another begins."""
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            stream = Stream(self, reader, writer)
+            if self._answering >= MOST_ANSWERED:
+                self.refused["exchanges"] += 1
+                stream.close()
+                return
+            self._answering += 1
+            try:
+                async with asyncio.timeout(EXCHANGE_TIME):
+                    await answer(stream)
+            except (OSError, TimeoutError, EOFError, ValueError) as error:
+                log.debug("fleet: an exchange that another began broke off: %s", error)
+            finally:
+                self._answering -= 1
+                stream.close()
+
+        family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
+        for left in reversed(range(BIND_TRIES)):
+            listener = socket.socket(family, socket.SOCK_STREAM)
+            datagrams = socket.socket(family, socket.SOCK_DGRAM)
+            try:
+                listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                listener.bind(listen)
+                found = Place(*listener.getsockname()[:2])
+                datagrams.bind(found)
+            except OSError:
+                listener.close()
+                datagrams.close()
+                if not left:
+                    raise
+                await asyncio.sleep(BIND_PAUSE)
+                continue
+            break
+        datagrams.setblocking(False)
+        datagrams.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BUFFER)
+        self._datagrams, self._host = datagrams, found.host
+        self._loop.add_reader(datagrams, self._readable)
+        self._server = await asyncio.start_server(serve, sock=listener, limit=fr.MOST_EXCHANGE + LENGTH.size, backlog=64)
+        return found
+
+    def close(self) -> None:
+        """Let go of the address, at once."""
+        if self._datagrams is not None:
+            self._loop.remove_reader(self._datagrams)
+            self._datagrams.close()
+            self._datagrams = None
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def send(self, place: Place, frame: fr.Frame, version: int) -> None:
+        """A datagram; one that can't go now is lost, as others are on their way."""
+        if self._datagrams is None:
+            return
+        data = self.codec.encode(frame, version)
+        try:
+            self._datagrams.sendto(data, place)
+        except OSError as error:
+            self.refused["not sent"] += 1
+            log.debug("fleet: to %s: %s", place, error)
+            return
+        self.frames_out += 1
+        self.bytes_out += len(data)
+
+    def _readable(self) -> None:
+        for _ in range(ROUND):
+            if self._datagrams is None:
+                return
+            try:
+                data, source = self._datagrams.recvfrom(fr.MOST_DATAGRAM + 1)
+            except BlockingIOError:
+                return
+            except OSError as error:  # an earlier one did not arrive: that is told here
+                log.debug("fleet: %s", error)
+                continue
+            self.bytes_in += len(data)
+            second = int(self._loop.time())
+            if second != self._second:
+                self._second, self._taken = second, 0
+            self._taken += 1
+            if self._taken > MOST_A_SECOND:
+                self.refused["rate"] += 1
+                continue
+            try:
+                frame = self.codec.decode(data)
+            except fr.Refused as refused:
+                self.refused[refused.cause] += 1
+                continue
+            self._hears(frame, Place(*source[:2]))
+
+    async def begin(self, place: Place) -> Stream | None:
+        """A connection for an exchange; None where as many as may be are open."""
+        if self._begun >= MOST_BEGUN or self._server is None:
+            return None
+        self._begun += 1
+        try:
+            reader, writer = await asyncio.open_connection(
+                place.host, place.port, local_addr=(self._host, 0), limit=fr.MOST_EXCHANGE + LENGTH.size)
+        except BaseException:
+            self._begun -= 1
+            raise
+        return Stream(self, reader, writer)
+
+    def ended(self) -> None:
+        """An exchange that this side began is over."""
+        self._begun -= 1
+
+
+class Stream:
+    """One connection of an exchange: frames behind their length (4 bytes, big-endian)."""
+
+    def __init__(self, transport: Transport, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._transport = transport
+        self._reader = reader
+        self._writer = writer
+
+    async def send(self, frame: fr.Frame, version: int) -> None:
+        data = self._transport.codec.encode(frame, version)
+        self._writer.write(LENGTH.pack(len(data)) + data)
+        self._transport.bytes_out += len(data) + LENGTH.size
+        await self._writer.drain()
+
+    async def receive(self) -> fr.AnyFrame:
+        """The next frame; EOFError or ValueError where none comes that can be used."""
+        (length,) = LENGTH.unpack(await self._reader.readexactly(LENGTH.size))
+        if length > fr.MOST_EXCHANGE:
+            self._transport.refused["long"] += 1
+            raise ValueError(f"a frame of {length} bytes")
+        data = await self._reader.readexactly(length)
+        self._transport.bytes_in += length + LENGTH.size
+        try:
+            return self._transport.codec.decode(data, exchange=True)
+        except fr.Refused as refused:
+            self._transport.refused[refused.cause] += 1
+            raise
+
+    def close(self) -> None:
+        self._writer.close()
--- a/garnetrelay/operators/calls.py
+++ b/garnetrelay/operators/calls.py
@@ -27,6 +27,10 @@
         """The figures, a line each."""
         ...
 
+    def fleet(self, words: list[str]) -> str:
+        """What is said of the fleet, lines: of all, of one, or that this relay has left."""
+        ...
+
     def exclude(self, host: str, out: bool) -> None:
         """Take a host out, or put it back; returns once that is kept and in force."""
         ...
@@ -53,6 +57,11 @@
             return b"+OK\n"
         case ["OFFLINE" | "ONLINE" as word, *_]:
             raise Refused(f"{word} takes the name of one host")
+        case ["FLEET", *rest] if rest in (["MEMBERS"], ["LEAVE"]) or (
+                len(rest) == 2 and rest[0] == "EXPLAIN" and NAME.fullmatch(rest[1])):
+            return b"+OK\n" + service.fleet(rest).encode("ascii", "replace") + b".\n"
+        case ["FLEET", *_]:
+            raise Refused("FLEET takes MEMBERS, EXPLAIN NAME or LEAVE")
         case []:
             raise Refused("an empty line")
-    raise Refused(f"unknown call '{words[0][:40]}'; there are HEALTH, DUMP, OFFLINE ID, ONLINE ID")
+    raise Refused(f"unknown call '{words[0][:40]}'; there are HEALTH, DUMP, OFFLINE ID, ONLINE ID, FLEET")
--- a/garnetrelay/operators/service.py
+++ b/garnetrelay/operators/service.py
@@ -48,8 +48,25 @@
     def figures(self) -> str:
         relay = self.relay
         in_flight = sum(not message.over for message in relay.held.values()) + len(relay.recovering)
-        return figures.text(relay.counts, relay.hosts.calls_written, in_flight, len(relay.listed),
+        text = figures.text(relay.counts, relay.hosts.calls_written, in_flight, len(relay.listed),
                             relay.pacer.avoided())
+        return text if relay.fleet is None or relay.fleet.closed else text + relay.fleet.figures()
+
+    def fleet(self, words: list[str]) -> str:
+        fleet = self.relay.fleet
+        if fleet is None:
+            raise Refused("this relay knows no others: [fleet] is not switched on")
+        if fleet.closed:
+            raise Refused("this process has no part in the fleet any more")
+        match words:
+            case ["EXPLAIN", name]:
+                lines = fleet.explain(name)
+                if lines is None:
+                    raise Refused(f"no relay {name} was ever heard of")
+                return "\n".join(lines) + "\n"
+            case ["LEAVE"]:
+                fleet.leave()
+        return fleet.listing()
 
     def exclude(self, host: str, out: bool) -> None:
         relay = self.relay
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -30,6 +30,7 @@
 from starlingwick.control import MAY_HAVE_RUN, Pacer
 
 if TYPE_CHECKING:
+    from garnetrelay.fleet.service import Fleet
     from garnetrelay.operators.service import Operators
     from garnetrelay.store.ahead import Ahead
     from garnetrelay.store.durability import Syncing
@@ -129,13 +130,14 @@
         self.inheritance = inheritance
         self.settings = config.settings
         self.pacer = Pacer(config.settings, config.seed)
-        self.journal = Store.open(config.state, config.disk_bytes, config.machine_durable,
+        self.journal = Store.open(config.state, config.journal_bytes, config.machine_durable,
                                   None if inheritance is None else inheritance.claim, ahead)
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
         self.listed: dict[str, io.HostEntry] = {}  # by host
         self.gone: dict[str, None] = {}  # hosts that were listed, the latest last
         self.counts = Counts(config.class_names)
         self.operators: Operators | None = None
+        self.fleet: Fleet | None = None
         self.giver: Giver | None = None
         self.hearing: Hearing | None = None
         self.dests: set[int] = set()  # all that the list has ever named
@@ -187,6 +189,12 @@
             self.operators = Operators(self)
             await self.operators.start(self.config.operators)
             self.inbox += self.operators.excluded()
+        if self.config.fleet is not None:
+            from garnetrelay.fleet.service import Fleet  # only where relays know each other
+            passed = None if self.inheritance is None else self.inheritance.state.fleet
+            self.fleet = Fleet(
+                self.config.fleet, self.config.name, self.config.state, self.config.machine_durable, passed)
+            await self.fleet.start()
         if self.inheritance is None:
             self._read_known()
         else:
@@ -216,6 +224,8 @@
         """SIGHUP: go on with what can change in a running relay, the address of discovery. The list that we
         have stays in force until the new address brings its own."""
         self.counts.reloads_ok += 1
+        if self.fleet is not None:
+            self.fleet.read_secrets()
         if config.discovery == self.config.discovery:
             log.info("configuration read again: discovery stays at %s", config.discovery)
             return
@@ -259,8 +269,12 @@
             self.syncing.close()
         self.discovery.close()
         self.notices.close()
+        if self.fleet is not None:
+            self.fleet.close()
 
     def close(self) -> None:
+        if self.fleet is not None and self.stopping:
+            self.fleet.leave()
         self.retire()
         if self.operators is not None:
             self.operators.close()
--- a/garnetrelay/upgrade/give.py
+++ b/garnetrelay/upgrade/give.py
@@ -234,7 +234,7 @@
             endpoints.append(p.Endpoint(name, entry.zone, entry.kind, entry.dest, entry.availability.value, entry.rate,
                                         address.host, address.port))
         return p.State(relay.discovery.index, str(relay.config.discovery), endpoints, list(relay.gone),
-                       remember(relay.pacer))
+                       remember(relay.pacer), None if relay.fleet is None else relay.fleet.passing())
 
     # ---- behind it
 
--- a/garnetrelay/upgrade/protocol.py
+++ b/garnetrelay/upgrade/protocol.py
@@ -56,6 +56,7 @@
     endpoints: list[Endpoint]
     gone: list[str]
     memory: dict[str, Any]
+    fleet: dict[str, Any] | None = None  # this relay as a member: the new process goes on as it
 
 
 class Client(msgspec.Struct, array_like=True):
