--- /dev/null
+++ b/garnetrelay/laboratory/world.py
@@ -0,0 +1,294 @@
+"""Relays' decisions, links and faults over one clock that jumps from event to event. Seeded: it replays to the frame.
+
+A node is a name with a folder (its life number) and at most one process. A process may be killed, stopped and let go on,
+starved (whatever comes to it is seen later), or leave. Full exchanges stand for a TCP connection: three passes over the
+links, which lost frames delay and a cut ends.
+"""
+
+from __future__ import annotations
+
+import functools
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from garnetrelay.fleet.members import frames as fr
+from garnetrelay.fleet.members.claims import Claim, Identity, Place, Status
+from garnetrelay.fleet.members.effects import Effect, Exchange, KeepLife, Note, Tell
+from garnetrelay.fleet.members.protocol import Members
+from garnetrelay.fleet.members.settings import MS, SECOND, Settings
+from garnetrelay.laboratory.links import Fate, Links
+
+SECRET = b"laboratory's secret"
+LEAST_PASS = 0.0002  # seconds over a link that has no delay of its own
+PORT = 7946
+
+
+@dataclass(slots=True)
+class Starved:
+    """What comes to a process is seen later: for ``pause`` of each ``every`` nanoseconds it does not run."""
+
+    every: int
+    pause: int
+
+
+@dataclass(slots=True)
+class Node:
+    """A name, its folder and its process."""
+
+    name: str
+    place: Place
+    life: int = 0  # in the folder
+    process: int = 0
+    members: Members | None = None
+    started_at: int = 0
+    stopped: bool = False
+    starved: Starved | None = None
+    waiting: list[Callable[[], None]] = field(default_factory=list)  # came while it was stopped
+    woken_for: int = -1
+    sent_frames: int = 0
+    sent_bytes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """Something that the experiments look at: who noted what, when."""
+
+    at: int
+    who: str
+    text: str
+
+
+class World:
+    """The fleet. Times in nanoseconds from its beginning."""
+
+    def __init__(self, count: int, settings: Settings, seed: object, base: Fate | None = None, seeds: int = 3,
+                 versions: Callable[[int], int] = lambda number: 2, keep_notes: bool = False) -> None:
+        self.settings = settings
+        self.now = 0
+        self.links = Links(base or Fate(), seed)
+        self.codec = fr.Codec([SECRET])
+        self.nodes = {f"n{number}": Node(f"n{number}", Place(f"10.0.{number >> 8}.{number & 255}", PORT))
+                      for number in range(1, count + 1)}
+        self.by_place = {node.place: node for node in self.nodes.values()}
+        self.seeds = [node.place for node in itertools.islice(self.nodes.values(), seeds)]
+        self.versions = versions
+        self.notes: list[Seen] = []
+        self.keep_notes = keep_notes
+        self.failures: list[tuple[int, str, str, Identity, bool]] = []  # at, by, whom, its life, whether it was there
+        self.refused: Counter[str] = Counter()
+        self.after_effects: Callable[[Node], None] | None = None
+        self._seed = seed
+        self._draw = random.Random(f"{seed}/world")
+        self._queue: list[tuple[int, int, Callable[[], None]]] = []
+        self._count = itertools.count()
+
+    # ---- the clock
+
+    def at(self, when: int, what: Callable[[], None]) -> None:
+        """Let something happen."""
+        heapq.heappush(self._queue, (max(when, self.now), next(self._count), what))
+
+    def run(self, until: int, done: Callable[[], bool] | None = None) -> bool:
+        """Go on until a moment, or until something holds (looked at every tenth of a period); whether it does."""
+        look_at = self.now
+        while self._queue and self._queue[0][0] <= until:
+            self.now, _, what = heapq.heappop(self._queue)
+            what()
+            if done is not None and self.now >= look_at:
+                if done():
+                    return True
+                look_at = self.now + self.settings.probe_every // 10
+        self.now = until
+        return done is not None and done()
+
+    # ---- processes
+
+    def start(self, name: str, lost_folder: bool = False, folder: int | None = None) -> None:
+        """A new process of a name. ``lost_folder``: it finds nothing; ``folder``: an old copy of its life number."""
+        node = self.nodes[name]
+        node.life = (0 if lost_folder else node.life if folder is None else folder) + 1
+        node.process = self._draw.getrandbits(32)
+        number = int(name[1:])
+        claim = Claim(name, node.life, node.process, node.life, 0, Status.ALIVE, node.place.host, node.place.port,
+                      self.versions(number))
+        draw = random.Random(f"{self._seed}/{name}/{node.process}")
+        node.members = Members(claim, self.settings, draw, self.now, self.seeds)
+        node.started_at, node.stopped, node.waiting, node.woken_for = self.now, False, [], -1
+        self._wake(node)
+
+    def kill(self, name: str) -> None:
+        """SIGKILL."""
+        node = self.nodes[name]
+        node.members, node.waiting, node.stopped = None, [], False
+
+    def leave(self, name: str) -> None:
+        """SIGTERM."""
+        node = self.nodes[name]
+        if node.members is not None:
+            self._carry_out(node, node.members.leave(self.now))
+        self.kill(name)
+
+    def stop(self, name: str) -> None:
+        """SIGSTOP."""
+        self.nodes[name].stopped = True
+
+    def go_on(self, name: str) -> None:
+        """SIGCONT: what has come meanwhile is read at once."""
+        node = self.nodes[name]
+        node.stopped = False
+        waiting, node.waiting = node.waiting, []
+        for what in waiting:
+            what()
+        node.woken_for = -1
+        self._wake(node)
+
+    def live(self) -> list[Node]:
+        """Nodes whose process runs."""
+        return [node for node in self.nodes.values() if node.members is not None]
+
+    def one_view(self) -> bool:
+        """Whether all that live hold one view, with just them in it."""
+        live = self.live()
+        views = {node.members.view for node in live if node.members is not None}
+        return len(views) == 1 and all(
+            node.members is not None and node.members.count == len(live) and node.members.own.named for node in live)
+
+    # ---- what happens to a process
+
+    def _runs(self, node: Node, process: int, what: Callable[[], None]) -> None:
+        """Now, or once it runs again; never in another process."""
+        if node.members is None or node.process != process:
+            return
+        if node.stopped:
+            node.waiting.append(what)
+            return
+        if node.starved is not None:
+            gone = self.now % node.starved.every
+            if gone < node.starved.pause:
+                self.at(self.now + node.starved.pause - gone, lambda: self._runs(node, process, what))
+                return
+        what()
+
+    def _wake(self, node: Node) -> None:
+        members = node.members
+        if members is None or node.woken_for == members.next_at:
+            return
+        due, process = members.next_at, node.process
+        node.woken_for = due
+
+        def tick() -> None:
+            if node.members is None or node.process != process or node.woken_for != due:
+                return
+
+            def ticks() -> None:
+                if node.members is not None and node.woken_for == due:
+                    node.woken_for = -1
+                    self._carry_out(node, node.members.tick(self.now))
+            self._runs(node, process, ticks)
+
+        self.at(due, tick)
+
+    def _carry_out(self, node: Node, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Tell(place, frame, version):
+                    self._send(node, place, self.codec.encode(frame, version))
+                case Exchange(place):
+                    self._exchange(node, place)
+                case KeepLife(life):
+                    self.at(self.now + MS, functools.partial(self._keep, node, node.process, life))
+                case Note(text, _):
+                    self._note(node, text)
+        if self.after_effects is not None:
+            self.after_effects(node)
+        self._wake(node)
+
+    def _note(self, node: Node, text: str) -> None:
+        if text.startswith("judges "):
+            whom = self.nodes[text.split()[1]]
+            held = None if node.members is None else node.members.table.get(whom.name)
+            if held is not None:
+                self.failures.append((self.now, node.name, whom.name, held.claim.identity, whom.members is not None))
+        if self.keep_notes:
+            self.notes.append(Seen(self.now, node.name, text))
+
+    def _keep(self, node: Node, process: int, life: int) -> None:
+        if node.members is None or node.process != process:
+            return
+        node.life = max(node.life, life)
+        self._carry_out(node, node.members.life_kept(self.now, life))
+
+    def _send(self, node: Node, place: Place, data: bytes) -> None:
+        if len(data) > self.settings.most_frame:
+            raise AssertionError(f"a frame of {len(data)} bytes")
+        node.sent_frames += 1
+        node.sent_bytes += len(data)
+        other = self.by_place.get(place)
+        if other is None:
+            return
+        for delay, arrived in self.links.carry(node.name, other.name, data):
+            at = self.now + int((delay + LEAST_PASS) * SECOND)
+            self.at(at, lambda arrived=arrived: self._arrive(other, arrived, node.place))  # type: ignore[misc]
+
+    def _arrive(self, node: Node, data: bytes, source: Place) -> None:
+        def hears() -> None:
+            assert node.members is not None
+            try:
+                frame = self.codec.decode(data)
+            except fr.Refused as refused:
+                self.refused[refused.cause] += 1
+                return
+            self._carry_out(node, node.members.receive(self.now, frame, source))
+        self._runs(node, node.process, hears)
+
+    def _pass(self, first: Node, second: Node) -> int | None:
+        """How long a piece of a connection takes from one to the other (nanoseconds); None where it is cut."""
+        if not self.links.connects(first.name, second.name):
+            return None
+        fate = self.links.fate(first.name, second.name)
+        delay = (fate.delay_ms + fate.jitter_ms * self._draw.random()) / 1000 + LEAST_PASS
+        while fate.loss and self._draw.random() < fate.loss:
+            delay += 0.2  # TCP's least time until it sends again (RFC 6298 has 1 s, systems use 0.2)
+            if delay > 5:
+                return None
+        return int(delay * SECOND)
+
+    def _exchange(self, node: Node, place: Place) -> None:
+        """Hello, Whole, Whole."""
+        other = self.by_place.get(place)
+        if other is None or other is node or node.members is None:
+            return
+        process, began = node.process, self.now
+        hello = node.members.hello(self.now)
+
+        def then(first: Node, second: Node, its: int, what: Callable[[], None]) -> None:
+            took = self._pass(first, second)
+            if took is not None:
+                self.at(self.now + took, lambda: self._runs(second, its, what))
+
+        def answer() -> None:
+            assert other.members is not None
+            whole, asked_at, its = other.members.answer_hello(self.now, hello), self.now, other.process
+            self._count_bytes(other, whole)
+
+            def hear() -> None:
+                assert node.members is not None
+                ours, effects = node.members.hear_whole(self.now, whole, hello.number, began)
+                self._count_bytes(node, ours)
+
+                def hear_ours() -> None:
+                    assert other.members is not None
+                    _, effects = other.members.hear_whole(self.now, ours, whole.ask, asked_at)
+                    self._carry_out(other, effects)
+                then(node, other, its, hear_ours)
+                self._carry_out(node, effects)
+            then(other, node, process, hear)
+        if other.members is not None:
+            then(node, other, other.process, answer)
+
+    def _count_bytes(self, node: Node, frame: fr.Frame) -> None:
+        node.sent_bytes += len(self.codec.encode(frame, 2))
--- /dev/null
+++ b/tests/fleet/explore.py
@@ -0,0 +1,567 @@
+"""Every order in which words, losses, doubles, kills, restarts and suspicions can meet at three members, to the end.
+
+What runs is `Holding`, as the relay drives it; time is counted in steps of a suspicion. A message is all that its sender
+holds at that moment; it may arrive late, twice or never, so a cut between members is among the orders.
+
+    python -m tests.fleet.explore            # all orders within the bounds below, and each planted fault
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import sys
+import time
+from collections import deque
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
+
+from garnetrelay.fleet.members.claims import Claim, Identity, Status
+from garnetrelay.fleet.members.effects import Effect
+from garnetrelay.fleet.members.holding import Holding
+from garnetrelay.fleet.members.own import Own
+from garnetrelay.fleet.members.settings import Settings
+from garnetrelay.fleet.members.table import Suspicion, Table
+
+NAMES = ("a", "b", "c")
+# A suspicion lasts two steps, or one if it is confirmed.
+SETTINGS = Settings(probe_every=1, probe_timeout=0, suspicion=1.0, suspicion_span=2.0)
+HEAL_ROUNDS = 12
+
+
+class Bounds(NamedTuple):
+    """How much may happen in one order."""
+
+    starts: int = 2  # lives that a process of a member may begin
+    kills: int = 1
+    suspicions: int = 2
+    leaves: int = 1
+    lost_folders: int = 1
+    messages: int = 1  # on their way at once
+    doubles: int = 1
+
+
+SMALL = Bounds(starts=2, kills=1, suspicions=1, leaves=0, lost_folders=0, messages=1, doubles=0)
+WIDE = Bounds(starts=2, kills=1, suspicions=2, leaves=1, lost_folders=1, messages=1, doubles=1)
+
+
+class Site(NamedTuple):
+    """A member's folder and process. ``holding``: its number among those that were met; -1: no process."""
+
+    folder: int
+    starts: int
+    holding: int
+
+
+class World(NamedTuple):
+    """One state. ``flying``: to whom, and the number of what is said."""
+
+    sites: tuple[Site, ...]
+    flying: tuple[tuple[int, int], ...]
+    bounds: Bounds  # what is left of them
+
+
+Kinds = tuple[type[Holding], type[Own], type[Table]]
+PLAIN: Kinds = (Holding, Own, Table)
+
+
+def _short(claim: Claim) -> tuple[Any, ...]:
+    return claim.name, *claim.rank, claim.by
+
+
+def _key(holding: Holding) -> tuple[Any, ...]:
+    own = holding.own
+    others = sorted(
+        (_short(member.claim), member.suspicion and (
+            member.suspicion.began, member.suspicion.members, tuple(sorted(member.suspicion.by))))
+        for member in holding.table)
+    return (_short(own.claim), own.claim.born, own.named, own.left, own.wanted, own.aside and _short(own.aside),
+            tuple(others), frozenset(holding.suspects))
+
+
+def clone(holding: Holding, kinds: Kinds, older: int = 0) -> Holding:
+    """A copy; ``older``: so many steps have passed (times are kept relative to now, which is 0)."""
+    effects: list[Effect] = []
+    made = kinds[0](holding.own.claim, SETTINGS, effects)
+    made.own = kinds[1].__new__(kinds[1])
+    made.own.__dict__.update(holding.own.__dict__)
+    made.table = kinds[2](SETTINGS.most_members)
+    made.table.print = holding.table.print
+    made.table.members = {name: dataclasses.replace(member) for name, member in holding.table.members.items()}
+    made.table.gone = {name: dataclasses.replace(member) for name, member in holding.table.gone.items()}
+    made.suspects = set(holding.suspects)
+    for member in made.table:
+        if member.suspicion is not None:
+            member.suspicion = Suspicion(
+                member.suspicion.began - older, member.suspicion.members, set(member.suspicion.by))
+    return made
+
+
+class Broken(Exception):
+    """A property does not hold. ``step``: in which step, where that is not the one under way."""
+
+    def __init__(self, text: str, step: str = "") -> None:
+        super().__init__(text)
+        self.step = step
+
+
+class Explorer:
+    """One run over all orders. ``kinds`` may carry a planted fault.
+
+    Holdings that are alike are one, and what becomes of one is worked out once: a state is a few numbers.
+    """
+
+    def __init__(self, bounds: Bounds, kinds: Kinds = PLAIN, keep: Callable[[int, int], int] = max,
+                 first_life: Callable[[int], int] = lambda folder: folder + 1) -> None:
+        self.kinds = kinds
+        self.keep = keep  # the folder's life from what it was and what is to be kept
+        self.first_life = first_life
+        self.met: list[Holding] = []
+        self._numbers: dict[Any, int] = {}
+        self._texts: list[tuple[Claim, ...]] = []  # what is said
+        self._text_numbers: dict[Any, int] = {}
+        self._made: dict[Any, int] = {}  # what becomes of a holding, by what happens to it
+        self._words: dict[int, int] = {}
+        self._compared: set[tuple[int, int]] = set()
+        self._healed: set[tuple[int, ...]] = set()
+        self.first = World(tuple(self.begun(number, Site(0, 0, -1), False) for number in range(len(NAMES))), (), bounds)
+        self.states = self.steps = 0
+
+    @property
+    def healed(self) -> int:
+        """Different threes of holdings from which views were seen to meet."""
+        return len(self._healed)
+
+    def run(self) -> tuple[str, list[str]] | None:
+        """Breadth first: the first property that breaks, with its shortest trace; None where all hold."""
+        came: dict[World, tuple[World, str] | None] = {self.first: None}
+        waiting = deque([self.first])
+        while waiting:
+            world = waiting.popleft()
+            self.states += 1
+            text = ""
+            try:
+                self.heal(world)
+                for text, after in self.moves(world):
+                    self.steps += 1
+                    self.compare(world, after)
+                    if after not in came:
+                        came[after] = (world, text)
+                        waiting.append(after)
+            except Broken as broken:
+                trace = [broken.step or text] if broken.step or text else []
+                back = came[world]
+                while back is not None:
+                    trace.insert(0, back[1])
+                    back = came[back[0]]
+                return str(broken), trace
+        return None
+
+    # ---- holdings
+
+    def number(self, holding: Holding) -> int:
+        """Its number: the same for all that are alike."""
+        key = _key(holding)
+        number = self._numbers.get(key)
+        if number is None:
+            number = self._numbers[key] = len(self.met)
+            self.met.append(holding)
+        return number
+
+    def after(self, holding: int, what: tuple[Any, ...], change: Callable[[Holding], object], older: int = 0) -> int:
+        """What becomes of a holding."""
+        key = holding, *what
+        number = self._made.get(key)
+        if number is None:
+            made = clone(self.met[holding], self.kinds, older)
+            change(made)
+            number = self._made[key] = self.number(made)
+        return number
+
+    def text(self, claims: tuple[Claim, ...]) -> int:
+        """The number of what is said."""
+        key = tuple(_short(claim) for claim in claims)
+        number = self._text_numbers.get(key)
+        if number is None:
+            number = self._text_numbers[key] = len(self._texts)
+            self._texts.append(claims)
+        return number
+
+    def words(self, number: int) -> int:
+        """What a frame of it tells: its own word, and all that it holds."""
+        text = self._words.get(number)
+        if text is None:
+            holding = self.met[number]
+            text = self._words[number] = self.text((holding.own.claim, *sorted(holding.table.claims(), key=_short)))
+        return text
+
+    def hears(self, holding: int, text: int) -> int:
+        """A frame came."""
+        def hear(made: Holding) -> None:
+            for claim in self._texts[text]:
+                made.hear(0, claim)
+        return self.after(holding, ("hears", text), hear)
+
+    def suspects(self, holding: int, name: str) -> int:
+        """A probe came to nothing."""
+        identity = self.met[holding].table.members[name].claim.identity
+        return self.after(holding, ("suspects", name), lambda made: made.suspect(0, name, identity, ""))
+
+    def older(self, holding: int) -> int:
+        """A step has passed."""
+        def judge(made: Holding) -> None:
+            before = {name: (member.claim, member.suspicion) for name, member in made.table.members.items()}
+            made.judge(0, True)
+            for name, (claim, suspicion) in before.items():
+                later = made.table.get(name)
+                if later is None or later.claim.identity != claim.identity or later.claim.status is not Status.FAILED:
+                    continue
+                if suspicion is None:
+                    raise Broken("a member is failed without a suspicion", "a step passes")
+                others = {by for by in suspicion.by if by in NAMES and by != claim.by}
+                if -suspicion.began < SETTINGS.suspicion_time(suspicion.members, len(others)):
+                    raise Broken("a member is failed without its time to speak up", "a step passes")
+        return self.after(holding, ("older",), judge, 1)
+
+    def keeps(self, holding: int) -> int:
+        """The next life is in the folder."""
+        return self.after(holding, ("keeps",), lambda made: made.kept(made.own.wanted))
+
+    # ---- what may happen
+
+    def moves(self, world: World) -> Iterator[tuple[str, World]]:
+        """Every next state. A frame that is lost is one that was never sent: nothing else remembers it."""
+        left, sites, flying = world.bounds, world.sites, world.flying
+        for number, site in enumerate(sites):
+            name = NAMES[number]
+            if site.holding < 0:
+                if site.starts < left.starts:
+                    yield f"{name} starts", self.with_site(world, number, self.begun(number, site, False))
+                    if left.lost_folders:
+                        yield f"{name} starts without its folder", self.with_site(
+                            world, number, self.begun(number, site, True))._replace(
+                                bounds=left._replace(lost_folders=left.lost_folders - 1))
+                continue
+            holding = self.met[site.holding]
+            if left.kills:
+                yield f"{name} is killed", self.with_site(world, number, site._replace(holding=-1))._replace(
+                    bounds=left._replace(kills=left.kills - 1))
+            if holding.own.wanted and not holding.own.left:
+                yield f"{name} keeps life {holding.own.wanted}", self.with_site(world, number, site._replace(
+                    folder=self.keep(site.folder, holding.own.wanted), holding=self.keeps(site.holding)))
+            if not holding.own.named:
+                continue
+            if len(flying) < left.messages:
+                said = self.words(site.holding)
+                for to in range(len(NAMES)):
+                    if to != number:
+                        yield f"{name} tells {NAMES[to]}", world._replace(flying=tuple(sorted((*flying, (to, said)))))
+            if left.suspicions:
+                for other in holding.table.members:
+                    yield f"{name} suspects {other}", self.with_site(world, number, site._replace(
+                        holding=self.suspects(site.holding, other)))._replace(
+                            bounds=left._replace(suspicions=left.suspicions - 1))
+            if left.leaves:
+                yield f"{name} leaves", self.leaves(world, number, site)
+        for place, (to, text) in enumerate(flying):
+            what = f"{self._texts[text][0].name}'s word to {NAMES[to]}"
+            once = self.arrives(world, to, text)
+            yield f"arrives: {what}", once._replace(flying=(*flying[:place], *flying[place + 1:]))
+            if left.doubles:
+                yield f"arrives, and will again: {what}", once._replace(bounds=left._replace(doubles=left.doubles - 1))
+        if any(site.holding >= 0 and self.met[site.holding].suspects for site in sites):
+            yield "a step passes", world._replace(sites=tuple(
+                site if site.holding < 0 else site._replace(holding=self.older(site.holding)) for site in sites))
+
+    def with_site(self, world: World, number: int, site: Site) -> World:
+        """Another site in a place."""
+        return world._replace(sites=(*world.sites[:number], site, *world.sites[number + 1:]))
+
+    def begun(self, number: int, site: Site, lost: bool) -> Site:
+        """A new process."""
+        life = self.first_life(0 if lost else site.folder)
+        claim = Claim(NAMES[number], life, 10 * number + site.starts, life, 0, Status.ALIVE, "10.0.0.1", 1, 2)
+        holding = self.kinds[0](claim, SETTINGS, [])
+        holding.own, holding.table = self.kinds[1](claim), self.kinds[2](SETTINGS.most_members)
+        return Site(life, site.starts + 1, self.number(holding))
+
+    def leaves(self, world: World, number: int, site: Site) -> World:
+        """It says so to one other; then its process ends."""
+        claim = clone(self.met[site.holding], self.kinds).own.leave()
+        flying = world.flying
+        if len(flying) < world.bounds.messages:
+            flying = tuple(sorted((*flying, ((number + 1) % len(NAMES), self.text((claim,))))))
+        return self.with_site(world, number, site._replace(holding=-1))._replace(
+            flying=flying, bounds=world.bounds._replace(leaves=world.bounds.leaves - 1))
+
+    def arrives(self, world: World, to: int, text: int) -> World:
+        """A frame reaches whoever is there now."""
+        site = world.sites[to]
+        if site.holding < 0:
+            return world
+        return self.with_site(world, to, site._replace(holding=self.hears(site.holding, text)))
+
+    # ---- what has to hold
+
+    def compare(self, before: World, after: World) -> None:
+        """Properties of a step."""
+        for old, new in zip(before.sites, after.sites, strict=True):
+            if new.holding < 0 or new == old:
+                continue
+            own = self.met[new.holding].own
+            if own.claim.life > new.folder:
+                raise Broken("a life is used before it is in the folder")
+            if old.holding < 0:
+                if new.folder <= old.folder and before.bounds.lost_folders == after.bounds.lost_folders:
+                    raise Broken("a life is used twice")
+                continue
+            pair = old.holding, new.holding
+            if pair not in self._compared:
+                self.compare_site(self.met[old.holding], self.met[new.holding])
+                self._compared.add(pair)
+
+    def compare_site(self, old: Holding, new: Holding) -> None:
+        """Properties of what becomes of a holding."""
+        if new.own.claim.identity < old.own.claim.identity:
+            raise Broken("a relay goes back to an earlier life")
+        if new.own.claim.identity == old.own.claim.identity:
+            if new.own.claim.incarnation < old.own.claim.incarnation:
+                raise Broken("an incarnation goes back")
+            if old.own.wanted and new.own.named:
+                raise Broken("a relay speaks on in a life that it knows has ended")
+            if old.own.aside is not None and new.own.named:
+                raise Broken("a relay speaks beside the process for which it stood aside")
+        for member in old.table:
+            claim = member.claim
+            later = new.table.get(claim.name)
+            if later is None:
+                raise Broken("a member is forgotten")
+            if claim.final and later.claim.identity == claim.identity and not later.claim.final:
+                raise Broken("a life that failed or left comes back")
+            if later.claim.identity < claim.identity:
+                raise Broken("an earlier life takes the place of a later one")
+        if any(other.claim.status is Status.SUSPECT and (other.suspicion is None or name not in new.suspects)
+               for name, other in new.table.members.items()):
+            raise Broken("a suspicion has no end")
+
+    def in_peace(self, live: list[int]) -> dict[str, Identity]:
+        """The lives of which nobody knows anything that ends them."""
+        held = [self.met[number] for number in live]
+        return {one.name: one.own.claim.identity for one in held if one.own.named and not any(
+            (member := other.table.get(one.name)) is not None and (
+                member.claim.identity > one.own.claim.identity
+                or member.claim.identity == one.own.claim.identity and member.claim.final) for other in held)}
+
+    def heal(self, world: World) -> None:
+        """Links whole from here on, and nothing else happens: each keeps its life, tells all, and probes."""
+        live = [site.holding for site in world.sites if site.holding >= 0]
+        passed: list[tuple[int, ...]] = []
+        for _ in range(HEAL_ROUNDS):
+            if tuple(live) in self._healed:
+                break
+            passed.append(tuple(live))
+            peaceful = self.in_peace(live)
+            self.one_round(live)
+            if not peaceful.items() <= self.in_peace(live).items():
+                raise Broken("links are whole, and a relay that answers is failed", "links are whole")
+            if tuple(live) == passed[-1]:
+                self.see_one_view(live)
+                break
+        else:
+            self.see_one_view(live)
+        self._healed.update(passed)
+
+    def one_round(self, live: list[int]) -> None:
+        """Each keeps its life, tells all twice, and probes; a step passes."""
+        live[:] = [self.keeps(number) if self.met[number].own.wanted else number for number in live]
+        for place, other in 2 * list(itertools.permutations(range(len(live)), 2)):
+            speaker, hearer = self.met[live[place]], self.met[live[other]]
+            if speaker.own.named:
+                live[other] = self.hears(live[other], self.words(live[place]))
+            elif hearer.own.named and (held := hearer.table.get(speaker.name)) is not None:
+                live[place] = self.hears(live[place], self.text((held.claim,)))  # it knocks, and is told
+        running = {self.met[number].name: self.met[number].own for number in live}
+        for place, number in enumerate(live):
+            for name, member in list(self.met[number].table.members.items()):
+                there = running.get(name)
+                if there is None or not there.named or there.claim.identity != member.claim.identity:
+                    number = self.suspects(number, name)
+            live[place] = self.older(number)
+
+    def see_one_view(self, live: list[int]) -> None:
+        """All that live hold just each other."""
+        held = [self.met[number] for number in live]
+        for holding in held:
+            if not holding.own.named:
+                raise Broken("links are whole, and a relay never gets its name", "links are whole")
+            inside = {(name, member.claim.identity, member.claim.status)
+                      for name, member in holding.table.members.items()}
+            if inside != {(other.name, other.own.claim.identity, Status.ALIVE) for other in held if other is not holding}:
+                raise Broken("links are whole, and views do not meet again", "links are whole")
+
+
+# ---- faults, each to be found
+
+
+class NoFinal(Table):
+    """Forgets that a life is over."""
+
+    def take(self, claim: Claim, now: int) -> Any:
+        member = self.gone.get(claim.name)
+        if member is not None and claim.identity == member.claim.identity and not claim.final:
+            self._leave(member)
+        return super().take(claim, now)
+
+
+class AnyLife(Table):
+    """Takes an earlier life for news."""
+
+    def take(self, claim: Claim, now: int) -> Any:
+        member = self.get(claim.name)
+        if member is not None and claim.life < member.claim.life and not claim.final:
+            self._leave(member)
+        return super().take(claim, now)
+
+
+class NoProcess(Table):
+    """Does not tell two processes of one life apart."""
+
+    def take(self, claim: Claim, now: int) -> Any:
+        member = self.get(claim.name)
+        if member is not None and claim.life == member.claim.life and claim.process != member.claim.process:
+            return super().take(claim.judged(claim.status, claim.by), now) if claim.final else self._nothing()
+        return super().take(claim, now)
+
+    def _nothing(self) -> Any:
+        from garnetrelay.fleet.members.table import Change
+        return Change.NOTHING
+
+
+class OneVoice(Table):
+    """Counts whoever repeats a suspicion as one more who suspects."""
+
+    def take(self, claim: Claim, now: int) -> Any:
+        change = super().take(claim, now)
+        member = self.members.get(claim.name)
+        if member is not None and member.suspicion is not None and member.claim.rank == claim.rank:
+            member.suspicion.by.add(f"{claim.by} again")
+        return change
+
+
+class Mute(Own):
+    """Hears that it is suspected, and does not speak up."""
+
+    def hear(self, claim: Claim) -> Any:
+        if claim.identity == self.claim.identity and claim.status is Status.SUSPECT:
+            return super().hear(claim.judged(Status.ALIVE, ""))
+        return super().hear(claim)
+
+
+class SpeaksOn(Own):
+    """Goes on in a life that has ended until the next is kept."""
+
+    def hear(self, claim: Claim) -> Any:
+        answer = super().hear(claim)
+        self.named = self.named or bool(self.wanted)
+        return answer
+
+
+class Hasty(Own):
+    """Uses the next life before it is kept."""
+
+    def hear(self, claim: Claim) -> Any:
+        answer = super().hear(claim)
+        if self.wanted:
+            self.kept(self.wanted)
+        return answer
+
+
+class Stubborn(Own):
+    """Takes no word on itself for true."""
+
+    def hear(self, claim: Claim) -> Any:
+        return super().hear(claim) if not claim.final else super().hear(claim.judged(Status.ALIVE, ""))
+
+
+class Pushy(Own):
+    """Does not stand aside for another process of its name."""
+
+    def hear(self, claim: Claim) -> Any:
+        answer = super().hear(claim)
+        if self.aside is not None:
+            self.named = True
+        return answer
+
+
+class Back(Own):
+    """Begins with its incarnation anew when it is suspected."""
+
+    def hear(self, claim: Claim) -> Any:
+        answer = super().hear(claim)
+        if self.claim.incarnation > 1:
+            self.claim = self.claim.judged(Status.ALIVE, "", 0)
+        return answer
+
+
+class Rash(Holding):
+    """Judges at once."""
+
+    def judge(self, now: int, may: bool) -> None:
+        super().judge(now + 1, may)
+
+
+class Silent(Holding):
+    """Never judges."""
+
+    def judge(self, now: int, may: bool) -> None:
+        pass
+
+
+class Anew(Holding):
+    """A word that comes twice begins the suspicion anew, without an end."""
+
+    def hear(self, now: int, claim: Claim, source: Any = None) -> Any:
+        answer = super().hear(now, claim, source)
+        if claim.status is Status.SUSPECT and claim.by != self.name:
+            self.suspects.discard(claim.name)
+        return answer
+
+
+FAULTS: dict[str, dict[str, Any]] = {
+    "a final word that is not final": {"kinds": (Holding, Own, NoFinal)},
+    "an earlier life taken for news": {"kinds": (Holding, Own, AnyLife)},
+    "two processes of one life not told apart": {"kinds": (Holding, Own, NoProcess)},
+    "one voice counted twice": {"kinds": (Holding, Own, OneVoice)},
+    "a suspected relay that does not speak up": {"kinds": (Holding, Mute, Table)},
+    "a relay that speaks on after its life has ended": {"kinds": (Holding, SpeaksOn, Table)},
+    "a life used before it is kept": {"kinds": (Holding, Hasty, Table)},
+    "a relay that takes no final word on itself": {"kinds": (Holding, Stubborn, Table)},
+    "a relay that does not stand aside": {"kinds": (Holding, Pushy, Table)},
+    "an incarnation that begins anew": {"kinds": (Holding, Back, Table)},
+    "a judgement before its time": {"kinds": (Rash, Own, Table)},
+    "no judgement at all": {"kinds": (Silent, Own, Table)},
+    "a suspicion that loses its end": {"kinds": (Anew, Own, Table)},
+    "a folder that does not count up": {"first_life": lambda folder: max(1, folder)},
+    "a folder that keeps no later life": {"keep": lambda was, now: was},
+}
+
+
+def main() -> int:
+    """Without arguments each planted fault, and the bounds that CI has; with them those bounds alone."""
+    bounds = Bounds(*(int(word) for word in sys.argv[1:])) if sys.argv[1:] else SMALL
+    began = time.monotonic()
+    explorer = Explorer(bounds)
+    broken = explorer.run()
+    print(f"{bounds}\n{explorer.states} states, {explorer.steps} steps, {len(explorer.met)} holdings, views meet from "
+          f"{explorer.healed}, {time.monotonic() - began:.0f} s: {broken or 'all properties hold'}", flush=True)
+    for name, how in () if sys.argv[1:] else FAULTS.items():
+        began = time.monotonic()
+        explorer = Explorer(WIDE, **how)
+        found = explorer.run()
+        print(f"{name} ({explorer.states} states, {time.monotonic() - began:.1f} s): " + (
+            "NOT FOUND" if found is None else f"{found[0]} ({len(found[1])} steps: {'; '.join(found[1])})"), flush=True)
+    return 0 if broken is None else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/fleet/processes.py
@@ -0,0 +1,130 @@
+"""Real relays that know each other, as processes, through the links stand-in. Tests wait for what the relays log."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from garnetrelay.fleet.words import Line, State
+from garnetrelay.laboratory.links import Fate, Links
+from garnetrelay.rehearsal.links.network import Network
+from tests.sockets import FACTS
+
+ROOT = Path(__file__).parents[2]
+PATIENCE = 30.0  # seconds; a test that needs them has failed
+SECRET = "a secret of the tests\n"
+
+
+class Relay:
+    """One process and what it has logged."""
+
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        self.fleet = fleet
+        self.name = name
+        self.folder = fleet.folder / name
+        (self.folder / "state").mkdir(parents=True)
+        self.lines: list[str] = []
+        self.process: asyncio.subprocess.Process | None = None
+        self.reading: asyncio.Task[None] | None = None
+        self.secrets = SECRET
+        self.options = "probe_every_ms = 100\nprobe_timeout_ms = 40\n"
+
+    async def start(self) -> None:
+        network, staff = self.fleet.network, self.folder / "staff"
+        (self.folder / "secret").write_text(self.secrets)
+        (self.folder / "options.toml").write_text(
+            f'[fleet]\nlisten = "{network.inner(self.name)}"\nadvertise = "{network.outer(self.name)}"\n'
+            f'seeds = {json.dumps([network.outer(seed) for seed in self.fleet.seeds])}\nsecret_file = "secret"\n'
+            f"{self.options}")
+        (self.folder / "config.json").write_text(json.dumps({
+            "name": self.name, "listen": f"{network.inner(self.name).rpartition(':')[0]}:0", "discovery": "127.0.0.1:9",
+            "seed": self.name, "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 3}, "settings": FACTS,
+            "known": {"index": 1, "snapshot": True, "endpoints": []}}))
+        self.staff = f"{network.inner(self.name).rpartition(':')[0]}:{network.port + 1}"
+        staff.unlink(missing_ok=True)
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "garnetrelay", cwd=ROOT, stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE, env={
+                **os.environ, "RELAY_CONFIG": str(self.folder / "config.json"), "RELAY_OPS": self.staff,
+                "RELAY_STATE": str(self.folder / "state"), "RELAY_OPTIONS": str(self.folder / "options.toml")})
+        self.reading = asyncio.get_running_loop().create_task(self._read(self.process))
+
+    async def _read(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr is not None
+        while line := await process.stderr.readline():
+            self.lines.append(line.decode().rstrip())
+            async with self.fleet.news:
+                self.fleet.news.notify_all()
+
+    def logged(self, text: str, since: int = 0) -> bool:
+        return any(text in line for line in self.lines[since:])
+
+    def signal(self, number: signal.Signals) -> None:
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    async def ended(self) -> int:
+        assert self.process is not None and self.reading is not None
+        async with asyncio.timeout(PATIENCE):
+            await self.reading
+            return await self.process.wait()
+
+    async def ask(self, line: str) -> list[str]:
+        """What staff are answered."""
+        host, _, port = self.staff.rpartition(":")
+        async with asyncio.timeout(PATIENCE):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(line.encode() + b"\n")
+            answer = (await reader.read()).decode()
+            writer.close()
+        assert answer.startswith("+OK"), answer
+        return answer.splitlines()[1:-1]
+
+    async def members(self) -> tuple[State, dict[str, Line]]:
+        first, *rest = await self.ask("FLEET MEMBERS")
+        lines: list[Line] = [msgspec.json.decode(line, type=Line) for line in rest]
+        return msgspec.json.decode(first, type=State), {line.name: line for line in lines}
+
+
+class Fleet:
+    """The processes and the network between them."""
+
+    def __init__(self, folder: Path, count: int, seeds: int = 2, base: Fate | None = None) -> None:
+        self.folder = folder
+        names = [f"r{number}" for number in range(1, count + 1)]
+        self.links = Links(base or Fate(), 1)
+        self.network = Network(names, self.links)
+        self.seeds = names[:seeds]
+        self.news = asyncio.Condition()
+        self.relays = {name: Relay(self, name) for name in names}
+
+    async def __aenter__(self) -> Fleet:
+        await self.network.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for relay in self.relays.values():
+            if relay.process is not None and relay.process.returncode is None:
+                relay.process.send_signal(signal.SIGCONT)
+                relay.process.kill()
+                await relay.ended()
+        self.network.stop()
+
+    async def start(self, *names: str) -> None:
+        """Start them, and wait until each has settled on one view with all that run."""
+        for name in names or self.relays:
+            await self.relays[name].start()
+        await self.until(lambda: all(relay.logged("fleet: joining ->") for relay in self.relays.values()
+                                     if relay.process is not None))
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        """Wait until something holds of what has been logged."""
+        async with asyncio.timeout(PATIENCE), self.news:
+            await self.news.wait_for(holds)
