Fleet: seeds that leave and come back together find the others; who is alone judges nobody

Cause: protocol.py _knock took the places of all that it holds for known, those that left included, so nobody knocked on a seed that had left, and the seeds, new, knew each other alone. tick let a relay judge as soon as anybody answered, while its condition was still alone (condition.py RELIES: speak is False there). Ruled out: frames refused (none), exchanges (done). Change: seeds that left are knocked on; who may judge is asked of RELIES too.

--- a/garnetrelay/fleet/members/protocol.py
+++ b/garnetrelay/fleet/members/protocol.py
@@ -19,7 +19,7 @@
 from garnetrelay.fleet.members import worth
 from garnetrelay.fleet.members.asking import Question, Questions, Why
 from garnetrelay.fleet.members.claims import Claim, Place, Status
-from garnetrelay.fleet.members.condition import Condition, Doubt, Facts
+from garnetrelay.fleet.members.condition import RELIES, Condition, Doubt, Facts
 from garnetrelay.fleet.members.effects import Effect, Exchange, KeepLife, Note, Tell
 from garnetrelay.fleet.members.holding import Holding
 from garnetrelay.fleet.members.own import Answer, Own
@@ -114,7 +114,8 @@
         """Time has passed. To be called at ``next_at``."""
         self._begin(now)
         self._expire(now)
-        self.holding.judge(now, self._answered_at is not None and now - self._answered_at <= self._patience())
+        self.holding.judge(now, RELIES[self.condition].speak and self._answered_at is not None
+                           and now - self._answered_at <= self._patience())
         self._go_on_probing(now)
         self._keep_contact(now)
         return self._end(now)
@@ -569,8 +570,9 @@
 
     def _knock(self, now: int) -> None:
         """Try one of those that failed, or a seed that is nobody's place: when links are whole again, views meet by it. A
-        relay whose name is in doubt asks in this way how it stands."""
-        known = {member.claim.place for member in self.table}
+        relay whose name is in doubt asks in this way how it stands. A seed that has left is tried too: seeds that come
+        back together know each other alone."""
+        known = {member.claim.place for member in self.table if member.claim.status is not Status.LEFT}
         doors: list[tuple[Place, list[Claim], int]] = [(seed, [], 1) for seed in self.seeds if seed not in known]
         doors += [(member.claim.place, [member.claim], self._version(member.claim))
                   for member in self.table.gone.values() if member.claim.status is Status.FAILED]
--- a/garnetrelay/laboratory/world.py
+++ b/garnetrelay/laboratory/world.py
@@ -22,7 +22,7 @@
 from garnetrelay.fleet.members.settings import MS, SECOND, Settings
 from garnetrelay.laboratory.links import Fate, Links
 
-SECRET = b"laboratory's secret"
+SECRET, OLD_SECRET = b"laboratory's secret", b"laboratory's secret of before"
 LEAST_PASS = 0.0002  # seconds over a link that has no delay of its own
 PORT = 7946
 
@@ -51,6 +51,8 @@
     woken_for: int = -1
     sent_frames: int = 0
     sent_bytes: int = 0
+    ahead: int = 0  # its clock, of the world's (nanoseconds)
+    old_secret: bool = False  # it signs with the secret of before
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +72,7 @@
         self.settings = settings
         self.now = 0
         self.links = Links(base or Fate(), seed)
-        self.codec = fr.Codec([SECRET])
+        self.codec, self.old_codec = fr.Codec([SECRET, OLD_SECRET]), fr.Codec([OLD_SECRET, SECRET])
         self.nodes = {f"n{number}": Node(f"n{number}", Place(f"10.0.{number >> 8}.{number & 255}", PORT))
                       for number in range(1, count + 1)}
         self.by_place = {node.place: node for node in self.nodes.values()}
@@ -110,6 +112,7 @@
     def start(self, name: str, lost_folder: bool = False, folder: int | None = None) -> None:
         """A new process of a name. ``lost_folder``: it finds nothing; ``folder``: an old copy of its life number."""
         node = self.nodes[name]
+        node.ahead = 0
         node.life = (0 if lost_folder else node.life if folder is None else folder) + 1
         node.process = self._draw.getrandbits(32)
         number = int(name[1:])
@@ -129,7 +132,7 @@
         """SIGTERM."""
         node = self.nodes[name]
         if node.members is not None:
-            self._carry_out(node, node.members.leave(self.now))
+            self._carry_out(node, node.members.leave(self.now + node.ahead))
         self.kill(name)
 
     def stop(self, name: str) -> None:
@@ -146,6 +149,13 @@
         node.woken_for = -1
         self._wake(node)
 
+    def clock_ahead(self, name: str, by: int) -> None:
+        """Its clock jumps."""
+        node = self.nodes[name]
+        node.ahead += by
+        node.woken_for = -1
+        self._wake(node)
+
     def live(self) -> list[Node]:
         """Nodes whose process runs."""
         return [node for node in self.nodes.values() if node.members is not None]
@@ -187,16 +197,16 @@
             def ticks() -> None:
                 if node.members is not None and node.woken_for == due:
                     node.woken_for = -1
-                    self._carry_out(node, node.members.tick(self.now))
+                    self._carry_out(node, node.members.tick(self.now + node.ahead))
             self._runs(node, process, ticks)
 
-        self.at(due, tick)
+        self.at(due - node.ahead, tick)
 
     def _carry_out(self, node: Node, effects: list[Effect]) -> None:
         for effect in effects:
             match effect:
                 case Tell(place, frame, version):
-                    self._send(node, place, self.codec.encode(frame, version))
+                    self._send(node, place, (self.old_codec if node.old_secret else self.codec).encode(frame, version))
                 case Exchange(place):
                     self._exchange(node, place)
                 case KeepLife(life):
@@ -212,7 +222,8 @@
             whom = self.nodes[text.split()[1]]
             held = None if node.members is None else node.members.table.get(whom.name)
             if held is not None:
-                self.failures.append((self.now, node.name, whom.name, held.claim.identity, whom.members is not None))
+                there = whom.members is not None and whom.members.own.claim.identity == held.claim.identity
+                self.failures.append((self.now, node.name, whom.name, held.claim.identity, there))
         if self.keep_notes:
             self.notes.append(Seen(self.now, node.name, text))
 
@@ -220,7 +231,7 @@
         if node.members is None or node.process != process:
             return
         node.life = max(node.life, life)
-        self._carry_out(node, node.members.life_kept(self.now, life))
+        self._carry_out(node, node.members.life_kept(self.now + node.ahead, life))
 
     def _send(self, node: Node, place: Place, data: bytes) -> None:
         if len(data) > self.settings.most_frame:
@@ -242,7 +253,7 @@
             except fr.Refused as refused:
                 self.refused[refused.cause] += 1
                 return
-            self._carry_out(node, node.members.receive(self.now, frame, source))
+            self._carry_out(node, node.members.receive(self.now + node.ahead, frame, source))
         self._runs(node, node.process, hears)
 
     def _pass(self, first: Node, second: Node) -> int | None:
@@ -262,8 +273,8 @@
         other = self.by_place.get(place)
         if other is None or other is node or node.members is None:
             return
-        process, began = node.process, self.now
-        hello = node.members.hello(self.now)
+        process, began = node.process, self.now + node.ahead
+        hello = node.members.hello(began)
 
         def then(first: Node, second: Node, its: int, what: Callable[[], None]) -> None:
             took = self._pass(first, second)
@@ -272,17 +283,18 @@
 
         def answer() -> None:
             assert other.members is not None
-            whole, asked_at, its = other.members.answer_hello(self.now, hello), self.now, other.process
+            asked_at, its = self.now + other.ahead, other.process
+            whole = other.members.answer_hello(asked_at, hello)
             self._count_bytes(other, whole)
 
             def hear() -> None:
                 assert node.members is not None
-                ours, effects = node.members.hear_whole(self.now, whole, hello.number, began)
+                ours, effects = node.members.hear_whole(self.now + node.ahead, whole, hello.number, began)
                 self._count_bytes(node, ours)
 
                 def hear_ours() -> None:
                     assert other.members is not None
-                    _, effects = other.members.hear_whole(self.now, ours, whole.ask, asked_at)
+                    _, effects = other.members.hear_whole(self.now + other.ahead, ours, whole.ask, asked_at)
                     self._carry_out(other, effects)
                 then(node, other, its, hear_ours)
                 self._carry_out(node, effects)
