Fleet: a judgement needs an answer from since its suspicion began; schedules and frames tested

Seen: a test of a fleet of two, driven clock, one play: n2 is killed, and n1 judges it failed at 35.4 s although nobody has answered n1 since ("n1 judges n2", failures [(, 'n1', 'n2', ...)]). The same moment with a cut would have n1 fail the healthy half. Cause: protocol.py tick let a relay judge while the last answer was younger than its patience, 3 periods times its slowness; the slower it was, the longer it judged by old answers. Change: holding.judge takes the moment of the last answer; a suspicion that has seen none since it began begins anew. Tests: 16 kinds of schedules, kept schedules that failed, planted faults that the watch sees, frames refused and taken, doubt, the join of words. Two secrets whose number in the head is the same byte are both good (before, the later hid the earlier). `python -m benchmarks fleet detection|false|load|faults|hostile|cost`.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from benchmarks import store, turns, upgrade
+from benchmarks import fleet, store, turns, upgrade
 from benchmarks.kit import carried
 from benchmarks.peers import Cost, measure
 
@@ -95,6 +95,35 @@
     five = commands.add_parser("upgrade", help=upgrade.compare.__doc__)
     five.add_argument("--held", type=int, nargs="+", default=[0, 10_000, 100_000])
     five.set_defaults(run=lambda chosen: upgrade.compare(chosen.held))
+    six = commands.add_parser("fleet", help=fleet.__doc__)
+    parts = six.add_subparsers(required=True)
+    part = parts.add_parser("detection", help=fleet.detection.__doc__)
+    part.add_argument("--sizes", type=int, nargs="+", default=[3, 10, 40, 200])
+    part.add_argument("--seeds", type=int, default=20)
+    part.set_defaults(run=lambda chosen: fleet.detection(chosen.sizes, chosen.seeds))
+    part = parts.add_parser("false", help=fleet.false.__doc__)
+    part.add_argument("--sizes", type=int, nargs="+", default=[10, 40])
+    part.add_argument("--seeds", type=int, default=6)
+    part.add_argument("--seconds", type=int, default=120)
+    part.set_defaults(run=lambda chosen: fleet.false(chosen.sizes, chosen.seeds, chosen.seconds))
+    part = parts.add_parser("load", help=fleet.load.__doc__)
+    part.add_argument("--sizes", type=int, nargs="+", default=[10, 40, 200])
+    part.set_defaults(run=lambda chosen: fleet.load(chosen.sizes))
+    part = parts.add_parser("faults", help=fleet.cuts.__doc__)
+    part.add_argument("--members", type=int, default=10)
+    part.add_argument("--seeds", type=int, default=100)
+    part.add_argument("--first", type=int, default=0)
+    part.add_argument("--kinds", nargs="*", default=[])
+    part.add_argument("--keep", type=Path, help="a folder for schedules that fail")
+    part.set_defaults(run=lambda chosen: fleet.cuts(
+        chosen.members, chosen.seeds, chosen.first, chosen.kinds, chosen.keep))
+    part = parts.add_parser("hostile", help=fleet.refusing.__doc__)
+    part.add_argument("--frames", type=int, default=1_000_000)
+    part.set_defaults(run=lambda chosen: fleet.refusing(chosen.frames))
+    part = parts.add_parser("cost", help=fleet.cost.__doc__)
+    part.add_argument("--members", type=int, default=200)
+    part.add_argument("--seconds", type=int, default=30)
+    part.set_defaults(run=lambda chosen: fleet.cost(chosen.members, chosen.seconds))
     options = parser.parse_args()
     print(machine())
     options.run(options)
--- a/garnetrelay/fleet/members/frames.py
+++ b/garnetrelay/fleet/members/frames.py
@@ -146,8 +146,11 @@
         """A frame as it goes out; what the version does not have is left out."""
         if version == 1 and (frame.summary is not None or frame.words):
             frame = msgspec.structs.replace(frame, summary=None, words=b"")
-        body = _encoder.encode(frame)
-        return b"%s%c%c%s%s" % (MAGIC, version, _number(self.signing), _digest(self.signing, version, body), body)
+        return self.sign(_encoder.encode(frame), version)
+
+    def sign(self, body: bytes, version: int) -> bytes:
+        """A body behind its head."""
+        return b"%s%c%c%s%s" % (MAGIC, version, self.good[0][0], _digest(self.signing, version, body), body)
 
     def decode(self, data: bytes, exchange: bool = False) -> AnyFrame:
         """The frame; Refused with a cause. ``exchange``: it came over TCP."""
--- a/garnetrelay/fleet/members/holding.py
+++ b/garnetrelay/fleet/members/holding.py
@@ -124,9 +124,10 @@
         self.hear(now, member.claim.judged(Status.SUSPECT, self.name))
         return True
 
-    def judge(self, now: int, may: bool) -> None:
-        """Suspicions whose time is over. ``may``: somebody answers this relay; where nobody does, the fault may be its
-        own, and every suspicion begins anew."""
+    def judge(self, now: int, answered_at: int | None) -> None:
+        """Suspicions whose time is over. ``answered_at``: when this relay last had an answer from anybody; None where its
+        word counts for nothing. Where none has come since the suspicion began, the fault may be its own, and the
+        suspicion begins anew."""
         if not self.own.named:
             return
         for name in list(self.suspects):
@@ -135,7 +136,7 @@
             assert suspicion is not None
             if now < self.suspicion_ends(member):
                 continue
-            if not may:
+            if answered_at is None or answered_at <= suspicion.began:
                 suspicion.began, suspicion.stretched = now, 0
                 continue
             self.figures.failed += 1
--- a/garnetrelay/fleet/members/protocol.py
+++ b/garnetrelay/fleet/members/protocol.py
@@ -114,8 +114,7 @@
         """Time has passed. To be called at ``next_at``."""
         self._begin(now)
         self._expire(now)
-        self.holding.judge(now, RELIES[self.condition].speak and self._answered_at is not None
-                           and now - self._answered_at <= self._patience())
+        self.holding.judge(now, self._answered_at if RELIES[self.condition].speak else None)
         self._go_on_probing(now)
         self._keep_contact(now)
         return self._end(now)
--- a/garnetrelay/laboratory/schedules.py
+++ b/garnetrelay/laboratory/schedules.py
@@ -310,7 +310,6 @@
     "starved": _starved, "one alone": _alone, "lost folder": _lost_folder, "old folder": _old_folder,
     "clock ahead": _clock, "leaving": _leaving, "seeds die": _seeds_die, "new secret": _new_secret,
 }
-CUTS = ("a third cut for 6 s", "a third cut for a minute", "halves", "one way", "a pair apart", "flapping", "one alone")
 
 
 def drawn(kind: str, seed: int, members: int, base: Fate | None = None) -> Schedule:
--- a/garnetrelay/laboratory/world.py
+++ b/garnetrelay/laboratory/world.py
@@ -83,6 +83,7 @@
         self.failures: list[tuple[int, str, str, Identity, bool]] = []  # at, by, whom, its life, whether it was there
         self.refused: Counter[str] = Counter()
         self.after_effects: Callable[[Node], None] | None = None
+        self.heard: Callable[[Node, bytes], None] | None = None  # a datagram reached a process
         self._seed = seed
         self._draw = random.Random(f"{seed}/world")
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
@@ -109,15 +110,16 @@
 
     # ---- processes
 
-    def start(self, name: str, lost_folder: bool = False, folder: int | None = None) -> None:
-        """A new process of a name. ``lost_folder``: it finds nothing; ``folder``: an old copy of its life number."""
+    def start(self, name: str, lost_folder: bool = False, folder: int | None = None, called: str = "") -> None:
+        """A new process of a name. ``lost_folder``: it finds nothing; ``folder``: an old copy of its life number;
+        ``called``: it takes the name of another."""
         node = self.nodes[name]
         node.ahead = 0
         node.life = (0 if lost_folder else node.life if folder is None else folder) + 1
         node.process = self._draw.getrandbits(32)
         number = int(name[1:])
-        claim = Claim(name, node.life, node.process, node.life, 0, Status.ALIVE, node.place.host, node.place.port,
-                      self.versions(number))
+        claim = Claim(called or name, node.life, node.process, node.life, 0, Status.ALIVE, node.place.host,
+                      node.place.port, self.versions(number))
         draw = random.Random(f"{self._seed}/{name}/{node.process}")
         node.members = Members(claim, self.settings, draw, self.now, self.seeds)
         node.started_at, node.stopped, node.waiting, node.woken_for = self.now, False, [], -1
@@ -248,6 +250,8 @@
     def _arrive(self, node: Node, data: bytes, source: Place) -> None:
         def hears() -> None:
             assert node.members is not None
+            if self.heard is not None:
+                self.heard(node, data)
             try:
                 frame = self.codec.decode(data)
             except fr.Refused as refused:
--- a/tests/fleet/explore.py
+++ b/tests/fleet/explore.py
@@ -210,7 +210,7 @@
         """A step has passed."""
         def judge(made: Holding) -> None:
             before = {name: (member.claim, member.suspicion) for name, member in made.table.members.items()}
-            made.judge(0, True)
+            made.judge(0, 0)
             for name, (claim, suspicion) in before.items():
                 later = made.table.get(name)
                 if later is None or later.claim.identity != claim.identity or later.claim.status is not Status.FAILED:
@@ -505,8 +505,8 @@
 class Rash(Holding):
     """Judges at once."""
 
-    def judge(self, now: int, may: bool) -> None:
-        super().judge(now + 1, may)
+    def judge(self, now: int, answered_at: int | None) -> None:
+        super().judge(now + 1, answered_at)
 
 
 class Shrinking(Holding):
@@ -520,7 +520,7 @@
 class Silent(Holding):
     """Never judges."""
 
-    def judge(self, now: int, may: bool) -> None:
+    def judge(self, now: int, answered_at: int | None) -> None:
         pass
 
 
--- /dev/null
+++ b/tests/fleet/test_frames.py
@@ -0,0 +1,113 @@
+"""What a member takes for a frame of its fleet, and what it refuses."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from garnetrelay.fleet.members import frames as fr
+from garnetrelay.fleet.members.claims import MOST_INCARNATION, MOST_LIFE, Claim, Status
+from garnetrelay.fleet.members.settings import SECOND, Settings
+from garnetrelay.laboratory import hostile
+from garnetrelay.laboratory.world import Node, World
+
+CLAIM = Claim("n1", 3, 77, 3, 0, Status.ALIVE, "10.0.0.1", 7946, 2)
+NEW, OLD = b"the secret from now on", b"the secret of before"
+
+
+def ping(**more: object) -> fr.Ping:
+    return fr.Ping(sender=CLAIM, sequence=1, number=2, **more)  # type: ignore[arg-type]
+
+
+def cause(codec: fr.Codec, data: bytes, exchange: bool = False) -> str:
+    with pytest.raises(fr.Refused) as refused:
+        codec.decode(data, exchange)
+    return refused.value.cause
+
+
+def test_every_kind_of_frame_comes_back_as_it_went() -> None:
+    codec = fr.Codec([NEW])
+    rest = dict(sender=CLAIM, sequence=9, number=1 << 62, claims=[CLAIM.judged(Status.FAILED, "n2")],
+                summary=fr.Summary(0xFFFFFFFF, 1000), words=fr.pack_words([fr.Word(1, 20, 3)] * fr.MOST_WORDS))
+    for frame in (fr.Ping(origin="n3", **rest), fr.Ack(heard=-1, **rest),  # type: ignore[arg-type]
+                  fr.AskFor(target="n2", host="::1", port=1, **rest),  # type: ignore[arg-type]
+                  fr.Vouch(target="n2", life=MOST_LIFE, process=0, incarnation=MOST_INCARNATION, **rest),  # type: ignore[arg-type]
+                  fr.Nack(**rest)):  # type: ignore[arg-type]
+        assert codec.decode(codec.encode(frame, 2)) == frame
+    for frame in (fr.Hello(**rest), fr.Whole(ask=4, **rest)):  # type: ignore[arg-type, assignment]
+        assert codec.decode(codec.encode(frame, 2), exchange=True) == frame
+
+
+def test_what_a_version_does_not_have_is_left_out() -> None:
+    codec = fr.Codec([NEW])
+    data = codec.encode(ping(summary=fr.Summary(1, 2), words=bytes(12)), 1)
+    assert data[2] == 1 and codec.decode(data) == ping()
+
+
+def test_both_secrets_are_good_during_a_change_and_the_first_signs() -> None:
+    before, during, after = fr.Codec([OLD]), fr.Codec([NEW, OLD]), fr.Codec([NEW])
+    assert during.decode(before.encode(ping(), 2)) == ping() == after.decode(during.encode(ping(), 2))
+    assert cause(before, during.encode(ping(), 2)) == cause(after, before.encode(ping(), 2)) == "secret"
+
+
+def test_secrets_of_one_number_are_both_good() -> None:
+    """The number in the head is one byte of a hash: two secrets may share it."""
+    numbers: dict[int, bytes] = {}
+    for count in itertools.count():
+        secret = b"a secret, number %d" % count
+        twin = numbers.setdefault(fr.Codec([secret]).good[0][0], secret)
+        if twin is not secret:
+            break
+    assert fr.Codec([secret, twin]).decode(fr.Codec([twin]).encode(ping(), 2)) == ping()
+
+
+def test_a_claim_takes_no_more_room_than_is_reckoned() -> None:
+    codec, longest = fr.Codec([NEW]), Claim(
+        "n" * 64, MOST_LIFE, (1 << 32) - 1, MOST_LIFE, MOST_INCARNATION, Status.SUSPECT, "f" * 39, 65535, 255, "b" * 64)
+    one, two = (len(codec.encode(ping(claims=[longest] * count), 2)) for count in (1, 2))
+    assert two - one <= longest.size()
+
+
+def test_nothing_hostile_changes_a_member() -> None:
+    heard: list[bytes] = []
+
+    def hear(node: Node, data: bytes) -> None:
+        if node.name == "n1" and len(heard) < 100:
+            heard.append(data)
+    world = World(5, Settings(), 1)
+    world.heard = hear
+    for name in world.nodes:
+        world.start(name)
+    assert world.run(20 * SECOND, world.one_view) and not world.run(world.now + 20 * SECOND)
+    members = world.nodes["n1"].members
+    assert members is not None and len(heard) > 30
+
+    def state() -> tuple[object, ...]:
+        return list(members.table.claims()), members.own.claim, members.view, members.condition
+
+    before, refused, taken = state(), set(), set()
+    for kind, data in itertools.islice(hostile.frames(random.Random(1), world.codec, heard), 3000):
+        try:
+            frame = world.codec.decode(data)
+        except fr.Refused:
+            refused.add(kind)
+        else:
+            taken.add(kind)
+            members.receive(world.now, frame, hostile.STRANGER)
+        assert state() == before, kind
+    assert taken == {"replayed", "a stranger", "an answer to nothing"} and len(refused) == 12
+    assert members.figures.refused.keys() >= {"replayed", "unproven"}
+
+
+@given(st.lists(st.integers(0, 600), max_size=60))
+def test_a_number_is_taken_once(numbers: list[int]) -> None:
+    window, taken = fr.Window(), set()
+    for number in numbers:
+        new = window.take(number)
+        assert not (new and number in taken)
+        assert new or number in taken or number <= window.highest - fr.Window.WIDTH
+        taken.add(number)
--- /dev/null
+++ b/tests/fleet/test_members.py
@@ -0,0 +1,90 @@
+"""Words on members, doubt, and single events by hand."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from garnetrelay.fleet.members.claims import Claim, Status
+from garnetrelay.fleet.members.condition import RELIES, Condition, Doubt, Facts, judge
+from garnetrelay.fleet.members.settings import SECOND, Settings
+from garnetrelay.fleet.members.spreading import Spreading
+from garnetrelay.fleet.members.table import Table
+
+claims = st.builds(
+    Claim, st.sampled_from(["a", "b"]), st.integers(1, 3), st.integers(0, 2), st.just(1), st.integers(0, 2),
+    st.sampled_from(Status), st.just("10.0.0.1"), st.integers(1, 2), st.just(2), st.sampled_from(["", "x", "y"]))
+
+
+@given(st.lists(claims, max_size=12), st.randoms())
+def test_the_same_words_leave_the_same_view_in_any_order(said: list[Claim], draw: object) -> None:
+    one, other = Table(10), Table(10)
+    for claim in said:
+        one.take(claim, 0)
+    again = said + said[:3]
+    draw.shuffle(again)  # type: ignore[attr-defined]
+    for claim in again:
+        other.take(claim, 0)
+    assert one.print == other.print
+    assert {(member.claim.name, member.claim.rank) for member in one} == {
+        (member.claim.name, member.claim.rank) for member in other}
+
+
+@given(st.lists(claims, max_size=20), st.integers(1, 3))
+def test_a_table_stays_within_its_bounds_and_forgets_no_end(said: list[Claim], most: int) -> None:
+    table = Table(most)
+    over: dict[str, tuple[int, int]] = {}
+    for moment, claim in enumerate(said):
+        table.take(claim, moment)
+        table.forget(moment - 2)
+        if claim.final:
+            over[claim.name] = max(over.get(claim.name, (0, 0)), claim.identity)
+        assert len(table.members) <= most and len(table.gone) <= most
+        for name, ended in over.items():
+            assert name not in table.members or table.members[name].claim.identity > ended
+
+
+facts = st.builds(
+    Facts, joined=st.booleans(), named=st.booleans(), others=st.integers(0, 5),
+    answered_ago=st.one_of(st.none(), st.integers(0, 5)), alone_after=st.just(3), suspects=st.integers(0, 1),
+    failed_lately=st.integers(0, 3), changed=st.booleans(), agreeing=st.integers(0, 5), differing=st.integers(0, 1),
+    slow=st.integers(0, 1))
+
+
+@given(st.lists(st.tuples(st.integers(0, 4), facts), max_size=40))
+def test_doubt_binds_at_once_and_goes_only_after_its_time(looks: list[tuple[int, Facts]]) -> None:
+    doubt, now, seen = Doubt(0), 0, [(0, Condition.JOINING)]
+    for gap, fact in looks:
+        now += gap
+        wanted = judge(fact)[0]
+        seen.append((now, wanted))
+        doubt.look(now, fact, 5)
+        assert doubt.condition >= wanted
+        # What it is now was reason enough at some moment of the last five.
+        since = [condition for at, condition in seen if at > now - 5] + [
+            [condition for at, condition in seen if at <= now - 5][-1:] or [Condition.JOINING]][0]
+        assert doubt.condition <= max(since)
+
+
+def test_what_may_be_relied_on_only_shrinks_with_doubt() -> None:
+    assert all(RELIES[Condition.SETTLED].__getattribute__(what) for what in ("count", "grow", "evidence", "speak"))
+    assert not any(RELIES[condition].grow for condition in Condition if condition is not Condition.SETTLED)
+    assert not RELIES[Condition.ALONE].speak and not RELIES[Condition.JOINING].speak
+
+
+def test_a_suspicion_lasts_as_the_paper_says() -> None:
+    settings = Settings()
+    least, longest = 4 * SECOND, 24 * SECOND
+    assert [settings.suspicion_time(10, confirmed) for confirmed in (0, 3, 9)] == [longest, least, least]
+    assert least < settings.suspicion_time(10, 2) < settings.suspicion_time(10, 1) < longest
+    assert settings.suspicion_time(2, 0) == least  # nobody else could confirm it
+    assert Settings(lifeguard=False).suspicion_time(10, 0) == least
+
+
+def test_a_word_is_told_so_often_and_a_newer_one_from_the_beginning() -> None:
+    spreading, old = Spreading(), Claim("a", 1, 1, 1, 0, Status.ALIVE, "10.0.0.1", 1, 2)
+    spreading.tell(old)
+    assert [spreading.take(1000, 3) for _ in range(2)] == [[old], [old]]
+    new = old.judged(Status.SUSPECT, "b")
+    spreading.tell(new)
+    assert [spreading.take(1000, 3) for _ in range(4)] == [[new], [new], [new], []] and len(spreading) == 0
--- /dev/null
+++ b/tests/fleet/test_schedules.py
@@ -0,0 +1,154 @@
+"""Hard cases in the driven clock; schedules that once failed; planted faults that the watch sees.
+
+More seeds and members: `python -m benchmarks fleet faults --seeds 1000 --keep tests/fleet/schedules`.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from garnetrelay.fleet.members.claims import Status
+from garnetrelay.fleet.members.condition import Condition
+from garnetrelay.fleet.members.holding import Holding
+from garnetrelay.fleet.members.protocol import Members
+from garnetrelay.fleet.members.settings import SECOND, Settings
+from garnetrelay.fleet.members.table import Path as LinkPath
+from garnetrelay.laboratory.links import Fate, between
+from garnetrelay.laboratory.schedules import KINDS, Schedule, drawn, play
+from garnetrelay.laboratory.world import World
+
+KEPT = sorted((Path(__file__).parent / "schedules").glob("*.json"))
+NOBODY_FAILS = {"a pair apart", "clock ahead", "leaving"}  # all that are judged there are gone
+
+
+def kept(name: str) -> Schedule:
+    return msgspec.json.decode((Path(__file__).parent / "schedules" / f"{name}.json").read_bytes(), type=Schedule)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_views_meet_again(kind: str) -> None:
+    for seed in (2, 3):  # with all on one version of frames, and half on the one of before
+        outcome = play(drawn(kind, seed, 7))
+        assert not outcome.failed, outcome
+        assert kind not in NOBODY_FAILS or not outcome.judged_alive
+
+
+@pytest.mark.parametrize("path", KEPT, ids=lambda path: path.stem)
+def test_a_schedule_that_once_failed_holds(path: Path) -> None:
+    outcome = play(kept(path.stem))
+    assert not outcome.failed, outcome
+
+
+def test_a_play_replays_to_the_frame() -> None:
+    sent = []
+    for _ in range(2):
+        worlds: list[World] = []
+        play(drawn("halves", 5, 6), prepare=worlds.append)
+        sent.append([(node.name, node.sent_frames, node.sent_bytes) for node in worlds[0].nodes.values()])
+    assert sent[0] == sent[1]
+
+
+def test_without_knocks_on_seeds_that_left_views_stay_apart(monkeypatch: pytest.MonkeyPatch) -> None:
+    knock = Members._knock
+
+    def planted(members: Members, now: int) -> None:
+        left = {member.claim.place for member in members.table if member.claim.status is Status.LEFT}
+        seeds, members.seeds = members.seeds, [seed for seed in members.seeds if seed not in left]
+        knock(members, now)
+        members.seeds = seeds
+    monkeypatch.setattr(Members, "_knock", planted)
+    assert play(kept("leaving-10-17")).one_view_ms is None
+
+
+def test_who_judges_while_alone_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    judge = Holding.judge
+    monkeypatch.setattr(Holding, "judge", lambda holding, now, answered_at: judge(holding, now, now))
+    assert any("alone, and judges" in problem for problem in play(kept("halves-10-31")).problems)
+
+
+def gathered(count: int, base: Fate | None = None, settings: Settings | None = None) -> World:
+    world = World(count, settings or Settings(), 1, base)
+    for name in world.nodes:
+        world.start(name)
+    assert world.run(60 * SECOND, world.one_view)
+    world.run(world.now + 30 * SECOND)
+    return world
+
+
+def members(world: World, name: str) -> Members:
+    found = world.nodes[name].members
+    assert found is not None
+    return found
+
+
+def test_a_link_that_works_one_way_is_told_apart_from_a_failure() -> None:
+    world = gathered(5)
+    assert {members(world, name).condition for name in world.nodes} == {Condition.SETTLED}
+    world.links.rule("cut", between(["n1"], ["n2"], one_way=True), Fate(cut=True))
+    world.run(world.now + 60 * SECOND)
+    one, two = members(world, "n1"), members(world, "n2")
+    # n1's questions don't arrive; n2's arrive, and n1's answers don't.
+    assert one.table.members["n2"].path is LinkPath.UNHEARD
+    assert two.table.members["n1"].path is LinkPath.UNHEARD or two.table.members["n1"].path is LinkPath.DEAF
+    assert not world.failures
+    world.links.drop("cut")
+    assert world.run(world.now + 60 * SECOND, lambda: all(
+        member.path is LinkPath.WHOLE for member in [*one.table.members.values(), *two.table.members.values()]))
+
+
+def test_who_hears_nobody_for_a_minute_judges_nobody_and_is_alone_at_once() -> None:
+    world = gathered(5)
+    world.links.rule("cut", between(["n1"], ["n2", "n3", "n4", "n5"]), Fate(cut=True))
+    cut_at = world.now
+    assert world.run(cut_at + 60 * SECOND, lambda: members(world, "n1").condition is Condition.ALONE)
+    one = members(world, "n1")
+    assert world.now - cut_at <= one.settings.alone_after * (one.slow + 1) + 2 * one.settings.probe_every
+    world.run(cut_at + 60 * SECOND)
+    assert one.holding.figures.failed == 0 and len(one.table.members) == 4
+    assert {whom for _, _, whom, _, _ in world.failures} == {"n1"}
+    world.links.drop("cut")
+    assert world.run(world.now + 60 * SECOND, world.one_view)
+    # The process is the same: what it knows is not new, and the others can tell.
+    held = members(world, "n2").table.members["n1"].claim
+    assert (held.life, held.born) == (2, 1)
+
+
+def test_the_word_of_each_member_is_no_older_than_its_bound() -> None:
+    world = gathered(12, Fate(jitter_ms=20))
+    worst = 0
+    for _ in range(60):
+        world.run(world.now + SECOND)
+        for node in world.live():
+            found = members(world, node.name)
+            ages = [found.age(name, world.now) for name in found.table.members]
+            worst = max([worst, *(age for age in ages if age is not None)])
+            assert None not in ages
+    assert 0 < worst <= Settings().word_bound(12)
+
+
+def test_a_fleet_of_two_whose_other_half_dies_is_alone_and_finds_it_again() -> None:
+    world = gathered(2)
+    world.kill("n2")
+    assert world.run(world.now + 30 * SECOND, lambda: members(world, "n1").condition is Condition.ALONE)
+    world.run(world.now + 60 * SECOND)
+    assert not world.failures  # it can't know which of the two is cut off
+    world.start("n2")
+    assert world.run(world.now + 30 * SECOND, world.one_view)
+    assert members(world, "n1").table.members["n2"].claim.life == 2
+
+
+def test_two_processes_of_one_name_end_with_one() -> None:
+    world = gathered(4)
+    twin = world.nodes["n4"].place
+    first = members(world, "n3")
+    # A process elsewhere takes n3's name, from a copy of its folder.
+    world.kill("n4")
+    assert world.run(world.now + 60 * SECOND, world.one_view)
+    world.start("n4", folder=world.nodes["n3"].life, called="n3")
+    assert world.run(world.now + 60 * SECOND, lambda: not first.own.named)
+    held = members(world, "n1").table.members["n3"].claim
+    assert held.place == twin and held.life == 2 and first.own.aside is not None
+    assert first.condition is Condition.JOINING and not first.holding.suspect(0, "n1", held.identity, "")
