--- a/tests/fleet/processes.py
+++ b/tests/fleet/processes.py
@@ -34,10 +34,11 @@
         self.process: asyncio.subprocess.Process | None = None
         self.reading: asyncio.Task[None] | None = None
         self.secrets = SECRET
+        self.off = False
         self.options = "probe_every_ms = 100\nprobe_timeout_ms = 40\n"
 
     async def start(self) -> None:
-        network, staff = self.fleet.network, self.folder / "staff"
+        network = self.fleet.network
         (self.folder / "secret").write_text(self.secrets)
         (self.folder / "options.toml").write_text(
             f'[fleet]\nlisten = "{network.inner(self.name)}"\nadvertise = "{network.outer(self.name)}"\n'
@@ -48,14 +49,24 @@
             "seed": self.name, "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 3}, "settings": FACTS,
             "known": {"index": 1, "snapshot": True, "endpoints": []}}))
         self.staff = f"{network.inner(self.name).rpartition(':')[0]}:{network.port + 1}"
-        staff.unlink(missing_ok=True)
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "garnetrelay", cwd=ROOT, stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE, env={
                 **os.environ, "RELAY_CONFIG": str(self.folder / "config.json"), "RELAY_OPS": self.staff,
-                "RELAY_STATE": str(self.folder / "state"), "RELAY_OPTIONS": str(self.folder / "options.toml")})
+                "RELAY_STATE": str(self.folder / "state"),
+                "RELAY_OPTIONS": "" if self.off else str(self.folder / "options.toml")})
         self.reading = asyncio.get_running_loop().create_task(self._read(self.process))
 
+    async def upgrade(self) -> None:
+        """A new process takes over from the one that runs."""
+        old, reading, lines = self.process, self.reading, len(self.lines)
+        await self.start()
+        assert old is not None and reading is not None
+        await self.fleet.until(lambda: self.logged("serves on", lines))
+        async with asyncio.timeout(PATIENCE):
+            await reading
+            await old.wait()
+
     async def _read(self, process: asyncio.subprocess.Process) -> None:
         assert process.stderr is not None
         while line := await process.stderr.readline():
