A relay that was stopped reads its sockets before it decides by its timers

Cause: epoll_wait that SIGCONT interrupts returns nothing, and asyncio runs the timers that are due before it looks again. relay.py _ring then posted the alarm, and its turn (control.py blame_overdue, cancel) gave up calls whose answers lay in their sockets: keyed ones past their repeat window could not go again and died at their deadlines. hosts.py timed calls out the same way. Ruled out: the kit (answer written whole, no call-ended event for the connection by the partner), deadlines (11.7 s were left).

--- a/garnetrelay/delivery/http/hosts.py
+++ b/garnetrelay/delivery/http/hosts.py
@@ -23,6 +23,7 @@
 
 from garnetrelay.delivery.http.answers import AnswerReader, Outcome
 from garnetrelay.config.deployment import Address
+from garnetrelay.looks import after_a_look
 from starlingwick import interface as io
 
 log = logging.getLogger(__name__)
@@ -73,6 +74,11 @@
             self.opening.cancel()
         self.end(Outcome(io.Status.ABANDONED))
 
+    def stops(self) -> None:
+        """See that it ends in its time. An answer that lies there by then is read first."""
+        self.timer = asyncio.get_running_loop().call_at(
+            self.stop_at / SECOND, after_a_look, self.give_up, io.Status.TIMEOUT)
+
     def give_up(self, status: io.Status) -> None:
         """Stop waiting: the connection closes with it. What was not written in full never ran."""
         if self.ended:
@@ -293,7 +299,7 @@
     def begin(self, exchange: Exchange) -> None:
         """Start a call or a probe, on an idle connection where there is a good one."""
         loop = asyncio.get_running_loop()
-        exchange.timer = loop.call_at(exchange.stop_at / SECOND, exchange.give_up, io.Status.TIMEOUT)
+        exchange.stops()
         idle = self.idle.get(exchange.host)
         while idle:
             connection = idle.pop()  # the latest used: the others may age and go
@@ -326,7 +332,7 @@
         connection.used, connection.exchange = used, exchange
         if exchange is not None:
             exchange.connection = connection
-            exchange.timer = loop.call_at(exchange.stop_at / SECOND, exchange.give_up, io.Status.TIMEOUT)
+            exchange.stops()
         await loop.create_connection(lambda: connection, sock=found)
         if exchange is None:
             self.rest(connection)
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -25,6 +25,7 @@
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
 from garnetrelay.lag import Lag
+from garnetrelay.looks import PAUSE, after_a_look
 from garnetrelay.platform.notices import Notices
 from starlingwick import interface as io
 from starlingwick.control import MAY_HAVE_RUN, Pacer
@@ -146,6 +147,7 @@
         self.newcomers: dict[str, Newcomer] = {}
         self.inbox: list[io.Event] = []
         self.turn_due = False
+        self.looked_at = 0  # when the last batch began
         self.flush_due = False
         self.lag = Lag()
         self.alarm: asyncio.TimerHandle | None = None
@@ -474,8 +476,16 @@
         self.inbox.append(event)
         if not self.turn_due:
             self.turn_due = True
-            self.lag.round_begins(time.monotonic_ns())
-            asyncio.get_running_loop().call_soon(self.turn)
+            self.looked_at = time.monotonic_ns()
+            self.lag.round_begins(self.looked_at)
+            asyncio.get_running_loop().call_soon(self._turn_soon)
+
+    def _turn_soon(self) -> None:
+        """The turn; but where this process did not run since it last read, what has come meanwhile is read first."""
+        if time.monotonic_ns() - self.looked_at > PAUSE:
+            after_a_look(self.turn)
+        else:
+            self.turn()
 
     def _flush_soon(self) -> None:
         """See that what was noted outside a turn is written soon; nothing waits for it."""
@@ -611,8 +621,12 @@
         self.alarm = asyncio.get_running_loop().call_at(at / SECOND, self._ring, at, token)
 
     def _ring(self, at: int, token: int) -> None:
-        self.lag.was_late(at, time.monotonic_ns())
-        self.post(io.Alarm(token))
+        now = time.monotonic_ns()
+        self.lag.was_late(at, now)
+        if now - self.looked_at > PAUSE:
+            after_a_look(self.post, io.Alarm(token))
+        else:
+            self.post(io.Alarm(token))
 
     # ---- attempts
 
