--- a/garnetrelay/rehearsal/conductor.py
+++ b/garnetrelay/rehearsal/conductor.py
@@ -7,7 +7,7 @@
 import tempfile
 import threading
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -17,6 +17,8 @@
 from garnetrelay.rehearsal.checker import Checker, Verdict, figures_of
 from garnetrelay.rehearsal.clients import Crowd
 from garnetrelay.rehearsal.clock import Clock, run_watched
+from garnetrelay.rehearsal.links.script import Move
+from garnetrelay.rehearsal.links.stage import LOOK_EVERY, Met, Stage
 from garnetrelay.rehearsal.observer import Observer
 from garnetrelay.rehearsal.partners.endpoints import Partners
 from garnetrelay.rehearsal.plan import SECOND, Plan, Step
@@ -41,6 +43,7 @@
     tally: Tally
     rude: list[Rude]
     ended_at: int
+    fleet: list[Met] = field(default_factory=list)  # what befell relays that know each other, and how long they took
 
     @property
     def kept(self) -> bool:
@@ -67,7 +70,11 @@
         self.rude: list[Rude] = []
         self._upgrading = {name: asyncio.Lock() for name in plan.relays}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._looking: set[asyncio.Task[None]] = set()
         self._error: BaseException | None = None
+        self.stage: Stage | None = None
+        if scenario.fleet is not None:
+            self.stage = Stage(scenario.fleet, plan.relays, plan.seed, plan.length / SECOND / scenario.seconds)
         self.began = 0  # when the plan began, by the run's clock
 
     async def play(self) -> Outcome:
@@ -75,23 +82,38 @@
         try:
             await self.partners.start()
             await self.register.start()
+            if self.stage is not None:
+                await self.stage.network.start()
+                for relay in self.relays.values():
+                    relay.options = self.stage.options(relay.name, relay.folder)
             await asyncio.gather(*(self._first_start(relay) for relay in self.relays.values()))
+            if self.stage is not None:
+                await self._gather(self.stage)
             self.began = self.clock.now()  # whatever the start took, the schedule is the same from here
             self.crowd.start(self.began)
             loop = asyncio.get_running_loop()
             for step in self.plan.steps:
                 loop.call_at(self._loop_time(step.at), self._begin, step)
+            if self.stage is not None:
+                for move in self.stage.moves:
+                    loop.call_at(self._loop_time(move.at), self._move, self.stage, move)
+                looking = loop.create_task(self._look(self.stage))
+                self._looking.add(looking)
+                looking.add_done_callback(self._looked)
             await self._ends()
             at, since = self.observer.did()
             self.observer.see(ev.RunEnded(at, since))
-            return Outcome(self.plan, self.checker.verdicts, self.tally, self.rude, at)
+            return Outcome(self.plan, self.checker.verdicts, self.tally, self.rude, at,
+                           [] if self.stage is None else self.stage.met())
         finally:
-            for task in self._tasks:
+            for task in (*self._tasks, *self._looking):
                 task.cancel()
             self.crowd.stop()
             for relay in self.relays.values():
                 relay.kill()
             await asyncio.gather(*(relay.gone() for relay in self.relays.values()))
+            if self.stage is not None:
+                self.stage.network.stop()
             await self.register.stop()
             await self.partners.stop()
             self.observer.close()
@@ -203,21 +225,96 @@
         for number in step.partners:
             self.partners.heal(number, step.spec.start if step.spec.cold else None, ramp if step.spec.cold else 0)
 
+    # ---- relays that know each other
+
+    async def _gather(self, stage: Stage) -> None:
+        """Until all hold one view."""
+        try:
+            async with asyncio.timeout(stage.spec.gather_s):
+                while not ((look := await stage.look(self.clock.now, self._staff())) and look.views == 1):
+                    await asyncio.sleep(LOOK_EVERY)
+        except TimeoutError:
+            raise StartError(f"no one view within {stage.spec.gather_s:g} s") from None
+        stage.looks.clear()
+        stage.first_lives({name: relay.state for name, relay in self.relays.items()})
+
+    def _staff(self) -> dict[str, int]:
+        return {name: relay.staff_port for name, relay in self.relays.items() if relay.ready and not relay.stopped}
+
+    async def _look(self, stage: Stage) -> None:
+        while True:
+            await stage.look(lambda: self.clock.now() - self.began, self._staff())
+            await asyncio.sleep(LOOK_EVERY)
+
+    def _looked(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None and self._error is None:
+            self._error = task.exception()
+            self.crowd.done.set()
+
+    def _move(self, stage: Stage, move: Move) -> None:
+        at, since = self.observer.did()
+        named = move.relays[0] if len(move.relays) == 1 else f"{len(move.relays)} relays"
+        self.observer.see(ev.Step(at, since, f"fleet: {move.what}, {named}", ()))
+        if move.what in ("cut", "cut-one-way"):
+            stage.cut(move)
+            asyncio.get_running_loop().call_at(self._loop_time(move.ends), stage.mend, move)
+        elif move.what == "flap":
+            self._spawn(self._pulses(move, lambda: stage.cut(move), lambda: stage.mend(move)))
+        elif move.what in ("stop", "starve"):
+            relays = [self.relays[name] for name in move.relays]
+            def stop() -> None:
+                for relay in relays:
+                    if relay.ready:
+                        relay.stop()
+
+            def go_on() -> None:
+                for relay in relays:
+                    relay.go_on()
+            self._spawn(self._pulses(move, stop, go_on))
+        else:
+            self._spawn(self._away(stage, move))
+
+    async def _pulses(self, move: Move, begin: Callable[[], object], end: Callable[[], object]) -> None:
+        """Bad for a pulse, good for a pulse, and so on; a stop is one pulse as long as the move."""
+        pulse = (move.ends - move.at if move.what == "stop" else move.pulse) / SECOND
+        until = self._loop_time(move.ends)
+        loop = asyncio.get_running_loop()
+        try:
+            while loop.time() < until:
+                begin()
+                await asyncio.sleep(min(pulse, until - loop.time()))
+                end()
+                await asyncio.sleep(pulse)
+        finally:
+            end()
+
+    async def _away(self, stage: Stage, move: Move) -> None:
+        """A relay ends, and is back later: with its folder, but for its life number where the move says so."""
+        relay = self.relays[move.relays[0]]
+        await self._down(relay, move.what != "leave", (move.ends - move.at) / SECOND,
+                         lambda: stage.change_life(relay.name, relay.state, move.what))
+
     async def _restart(self, step: Step) -> None:
         named = [step.relay] if step.relay else list(self.relays)
         await asyncio.gather(*(self._restart_one(self.relays[name], step) for name in named))
 
     async def _restart_one(self, relay: RelayProcess, step: Step) -> None:
+        await self._down(relay, step.spec.what == "kill", step.spec.down_s)
+
+    async def _down(self, relay: RelayProcess, kill: bool, seconds: float,
+                    change: Callable[[], None] = lambda: None) -> None:
+        """A relay ends and starts again. ``change``: what happens to its folder meanwhile."""
         if not relay.ready:
             return
         self.register.relay_is(relay.name, ready=False)
-        if step.spec.what == "kill":
+        if kill:
             self.crowd.front.died(relay.name)
             await relay.end(signal.SIGKILL)
         else:
             self.crowd.front.ends(relay.name)
             await relay.end(signal.SIGTERM)
-        await asyncio.sleep(step.spec.down_s)
+        change()
+        await asyncio.sleep(seconds)
         await self._start(relay)
 
     async def _upgrade(self, step: Step) -> None:
--- a/garnetrelay/rehearsal/relays.py
+++ b/garnetrelay/rehearsal/relays.py
@@ -50,6 +50,9 @@
         self.process: asyncio.subprocess.Process | None = None
         self.planned = False  # its end is
         self.staff_port = 0
+        self.options: Path | None = None  # what its RELAY_OPTIONS names
+        self._stopped = 0  # nanoseconds for which it was stopped, in all
+        self._stopped_at: int | None = None
         self._waited: dict[int, int] = {}  # for a core, by process
         self._expected: set[int] = set()  # processes whose end is no news: a new one has the relay
         self._watching: asyncio.Task[None] | None = None
@@ -73,7 +76,7 @@
         self.planned, self.ready, self.life = False, False, self.life + 1
         at, since = self.observer.did()
         self.observer.see(ev.RelayStarted(at, since, self.name, self.life))
-        self.staff_port = _free_port() if self.plan.staffed else 0
+        self.staff_port = _free_port() if self.plan.staffed or self.options is not None else 0
         self.process = await self._spawn(discovery, self.staff_port)
         self._watching = asyncio.get_running_loop().create_task(self._watch(self.process))
         async with asyncio.timeout(START_TIME):
@@ -90,6 +93,8 @@
             **os.environ, "RELAY_NAME": self.name, "RELAY_LISTEN": f"127.0.0.1:{self.port}",
             "RELAY_DISCOVERY": discovery, "RELAY_STATE": str(self.state),
             "RELAY_CONFIG": str(self.folder / config)}
+        if self.options is not None:
+            environment["RELAY_OPTIONS"] = str(self.options)
         if staff_port:
             environment["RELAY_OPS"] = f"127.0.0.1:{staff_port}"
         limit = min(int(self.plan.limits["sockets"]), resource.getrlimit(resource.RLIMIT_NOFILE)[1])
@@ -196,6 +201,7 @@
         if process is None or process.returncode is not None:
             return
         self.planned, self.ready = True, False
+        self.go_on()
         at, since = self.observer.did()
         self.observer.see(ev.RelaySignalled(at, since, self.name, number.name))
         process.send_signal(number)
@@ -213,6 +219,28 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(signal.SIGHUP)
 
+    def stop(self) -> None:
+        """SIGSTOP: it does not run, and counts as a relay that gets no core."""
+        if self.process is not None and self.process.returncode is None and self._stopped_at is None:
+            self.process.send_signal(signal.SIGSTOP)
+            self._stopped_at = self.observer.clock.now()
+
+    def go_on(self) -> None:
+        """SIGCONT."""
+        if self._stopped_at is None:
+            return
+        self._stopped, self._stopped_at = self._stopped_for(), None
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(signal.SIGCONT)
+
+    @property
+    def stopped(self) -> bool:
+        return self._stopped_at is not None
+
+    def _stopped_for(self) -> int:
+        running = 0 if self._stopped_at is None else self.observer.clock.now() - self._stopped_at
+        return self._stopped + running
+
     async def _watch(self, process: asyncio.subprocess.Process) -> None:
         """Sample how long it waited for a core and what lies in its folder, until it is gone."""
         disk = -1
@@ -221,7 +249,7 @@
             at, _ = self.observer.did()
             # What was read in the round before this one had happened by then.
             since = self.observer.clock.since
-            self.observer.see(ev.Starved(at, since, self.name, sum(self._waited.values())))
+            self.observer.see(ev.Starved(at, since, self.name, sum(self._waited.values()) + self._stopped_for()))
             used = _used(self.state)
             if used != disk:
                 disk = used
--- a/garnetrelay/rehearsal/report/live.py
+++ b/garnetrelay/rehearsal/report/live.py
@@ -71,6 +71,14 @@
         for name, times in outcome.tally.answer_times().items():
             console.print(Text(f"answers {name}: " + ", ".join(f"{key} {value:g}" for key, value in times.items())
                                + " ms"))
+    if outcome.fleet:
+        table = Table(box=None, pad_edge=False)
+        for column in ("at s", "fleet", "relays", "first doubt s", "all know s", "one view s"):
+            table.add_column(column, justify="left" if column == "fleet" else "right")
+        for met in outcome.fleet:
+            table.add_row(f"{met.at:.0f}", met.what, str(met.relays), *(
+                "-" if value is None else f"{value:.2f}" for value in (met.noticed, met.known, met.one_view)))
+        console.print(table)
     for rude in outcome.rude:
         console.print(Text(f"bad clients: {rude.tried} tried, {rude.left_waiting} left with neither error nor close"))
     end = Text("every rule held", style="bold green") if outcome.kept else Text(
--- a/garnetrelay/rehearsal/report/machine.py
+++ b/garnetrelay/rehearsal/report/machine.py
@@ -24,6 +24,7 @@
                   for number, text in RULES.items()},
         "verdicts": [msgspec.to_builtins(verdict) for verdict in outcome.verdicts],
         **outcome.tally.summary(),
+        **({"fleet": msgspec.to_builtins(outcome.fleet)} if outcome.fleet else {}),
         "bad clients": {"tried": sum(rude.tried for rude in outcome.rude),
                         "left with neither error nor close": sum(rude.left_waiting for rude in outcome.rude)},
     }
--- a/garnetrelay/rehearsal/scenario.py
+++ b/garnetrelay/rehearsal/scenario.py
@@ -13,6 +13,9 @@
 import msgspec
 from msgspec import Meta
 
+from garnetrelay.rehearsal.links.script import FleetSpec
+
+MOST_RELAYS = 64
 Share = Annotated[float, Meta(ge=0, le=1)]
 Positive = Annotated[float, Meta(gt=0)]
 Amount = Annotated[float, Meta(ge=0)]
@@ -158,7 +161,7 @@
     name: Annotated[str, Meta(pattern="^[a-z][a-z0-9-]{0,60}$")]
     text: str
     seconds: Annotated[float, Meta(gt=0, le=86400)] = 30.0
-    relays: Annotated[int, Meta(ge=1, le=16)] = 2
+    relays: Annotated[int, Meta(ge=1, le=MOST_RELAYS)] = 2
     buildings: tuple[str, ...] = ("media-block", "archive-block")
     load: Load = Load()
     clients: Clients = Clients()
@@ -168,6 +171,7 @@
     classes: tuple[Class, ...] = DEFAULT_CLASSES
     kinds: tuple[Kind, ...] = DEFAULT_KINDS
     steps: tuple[StepSpec, ...] = ()
+    fleet: FleetSpec | None = None
 
     def __post_init__(self) -> None:
         if not self.buildings or not self.classes or not self.kinds:
--- a/garnetrelay/rehearsal/staff.py
+++ b/garnetrelay/rehearsal/staff.py
@@ -22,5 +22,21 @@
             writer.transport.abort()
 
 
+async def lines(port: int, line: str) -> list[str]:
+    """All lines of a longer answer; none where it was no, or did not come in time."""
+    writer = None
+    try:
+        async with asyncio.timeout(PATIENCE):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(line.encode() + b"\n")
+            first, *rest = (await reader.read()).decode("ascii", "replace").splitlines()
+            return rest[:-1] if first.startswith("+OK") and rest[-1:] == ["."] else []
+    except (OSError, TimeoutError, ValueError):
+        return []
+    finally:
+        if writer is not None:
+            writer.transport.abort()
+
+
 async def says_yes(port: int, line: str) -> bool:
     return (await ask(port, line)).startswith("+OK")
