--- a/tests/rehearsal/test_played.py
+++ b/tests/rehearsal/test_played.py
@@ -44,6 +44,15 @@
     assert not [name for name in tally.counts if name.startswith("unanswered")]
 
 
+def test_a_fleet_between_faults_keeps_every_rule_and_comes_to_one_view() -> None:
+    found = planted.load("fleet")
+    outcome = conductor.play(found, plan.make(found, 2))
+    assert outcome.kept, outcome.verdicts
+    assert [met.what for met in outcome.fleet] == ["cut", "stop", "kill"]
+    last = outcome.fleet[-1]
+    assert last.noticed is not None and last.known is not None and last.one_view is not None
+
+
 def test_clean_scenario_keeps_every_rule_and_its_recording_says_the_same(tmp_path: Path) -> None:
     found = planted.load("closing-hour")
     schedule = plan.make(found, 3, seconds=12.0)
--- a/tests/rehearsal/test_scenario.py
+++ b/tests/rehearsal/test_scenario.py
@@ -13,13 +13,15 @@
 from garnetrelay.config.deployment import load as load_config
 from garnetrelay.rehearsal import events as ev
 from garnetrelay.rehearsal import plan, scenario
+from garnetrelay.rehearsal.links import script
 
+SECOND = 1_000_000_000
 GOOD = 'name = "mine"\ntext = "x"\nseconds = 5\n'
 
 
 @pytest.mark.parametrize(("more", "says"), [
     ('relays = "two"\n', "mine.toml:4: relays: Expected `int`, got `str`"),
-    ("relays = 99\n", "mine.toml:4: relays: Expected `int` <= 16"),
+    ("relays = 99\n", "mine.toml:4: relays: Expected `int` <= 64"),
     ("sseconds = 3\n", "mine.toml:4: sseconds: Object contains unknown field `sseconds`"),
     ("[load]\nrate = 5\nshape = \"round\"\n", "mine.toml:6: load.shape: Invalid enum value 'round'"),
     ("[[steps]]\nat = 1\nwhat = \"kill\"\n\n[[steps]]\nat = 2\nwhat = \"explode\"\n",
@@ -91,3 +93,17 @@
     path.write_text('{"what":"recording","version":1,"figures":{}}\n' + good[:20] + "\n")
     with pytest.raises(ev.RecordingError, match=":2: "):
         list(ev.read_recording(path)[1])
+
+
+def test_a_fleets_moves_are_the_same_by_seed_and_within_their_bounds() -> None:
+    spec = script.FleetSpec(steps=(
+        script.FleetStep(1, "cut", 2, 0.25), script.FleetStep(2, "kill", 10, 0.7, 1), script.FleetStep(3, "kill-seeds")))
+    relays = tuple(f"relay{number}" for number in range(1, 21))
+    made = script.moves(spec, 7, relays)
+    assert made == script.moves(spec, 7, relays) != script.moves(spec, 8, relays)
+    assert [len(move.relays) for move in made if move.what == "cut"] == [5]
+    kills = [move for move in made if move.what == "kill"]
+    assert len({move.relays for move in kills}) == 14
+    assert all(2 * SECOND <= move.at <= 3 * SECOND and move.ends - move.at == 10 * SECOND for move in kills)
+    assert [move.relays for move in made if move.what == "kill-seeds"] == [("relay1",), ("relay2",), ("relay3",)]
+    assert len(script.old_ones(0.5, relays)) == 9 and not script.old_ones(0, relays)
