--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,10 +6,11 @@
 import asyncio
 import os
 import platform
+import sys
 from collections.abc import Callable
 from pathlib import Path
 
-from benchmarks import fleet, store, turns, upgrade
+from benchmarks import fleet, simulator, store, turns, upgrade
 from benchmarks.kit import carried
 from benchmarks.peers import Cost, measure
 
@@ -124,6 +125,17 @@
     part.add_argument("--members", type=int, default=200)
     part.add_argument("--seconds", type=int, default=30)
     part.set_defaults(run=lambda chosen: fleet.cost(chosen.members, chosen.seconds))
+    seven = commands.add_parser("simulator", help=simulator.play.__doc__)
+    seven.add_argument("kit", type=Path, help="the folder of the bench's kit")
+    seven.add_argument("--site", default="gandhinagar-hub")
+    seven.add_argument("--relays", type=int, default=30)
+    seven.add_argument("--peers", action="store_true", help="relays may write to each other")
+    seven.add_argument("--price", type=float, default=0.01, help="of their notes")
+    seven.add_argument("--stock", default="", help="other days: eight hexadecimal digits")
+    seven.add_argument("--full", action="store_true")
+    seven.add_argument("--why", required=True, help="one plain sentence")
+    seven.set_defaults(run=lambda chosen: sys.exit(simulator.play(
+        chosen.kit, chosen.site, chosen.relays, chosen.peers, chosen.price, chosen.stock, not chosen.full, chosen.why)))
     options = parser.parse_args()
     print(machine())
     options.run(options)
--- a/starlingwick/wirehost.py
+++ b/starlingwick/wirehost.py
@@ -8,13 +8,17 @@
 import json
 import sys
 from collections.abc import Callable
-from typing import Any, TextIO
+from typing import TYPE_CHECKING, Any, TextIO
 
 from starlingwick import interface as io
 from starlingwick.control import Pacer
 from starlingwick.settings import SettingsError, parse_settings
 
+if TYPE_CHECKING:
+    from garnetrelay.fleet.mail import Mail
+
 MS = 1_000_000
+MEMBERS = 1 << 40  # timers from this number on are the fleet's, not the module's
 
 
 class WireError(Exception):
@@ -178,6 +182,8 @@
         self.line_no = 0
         self.pacers: dict[int, Pacer] = {}
         self.catalogs: dict[int, tuple[io.HostEntry, ...]] = {}
+        self.mails: dict[int, Mail] = {}  # where the settings let relays write to each other
+        self.notes: dict[int, list[str]] = {}  # what the fleet's part of this batch is
 
     def _line(self) -> str | None:
         line = self.source.readline()
@@ -204,6 +210,7 @@
 
     def _batch(self, now: int) -> None:
         pending: dict[int, list[io.Event]] = {}
+        self.notes.clear()
         instance: int | None = None
         while True:
             line = self._line()
@@ -222,21 +229,63 @@
                 head, mark, facts = rest.partition("facts=")
                 if not mark:
                     raise WireError("field 'facts' is missing")
-                self.pacers[instance] = Pacer(_settings(facts), _int(_fields(head.strip()), "rngSeed"))
+                seed = _int(_fields(head.strip()), "rngSeed")
+                self.pacers[instance] = Pacer(_settings(facts), seed)
                 pending[instance] = []
+                self._join(instance, facts, seed, now)
             elif name == "halt":
                 self.pacers.pop(instance, None)
+                self.mails.pop(instance, None)
+                self.notes.pop(instance, None)
                 pending.pop(instance, None)
             elif name == "roster_change":
                 self._add(pending, instance, self._roster(_fields(rest)))
+            elif name == "mail":
+                self._mail(instance, _fields(rest), now)
+            elif name == "alarm" and (token := _int(_fields(rest), "ctx", 0)) >= MEMBERS:
+                if instance in self.mails:
+                    self._note(instance, self.mails[instance].alarm(now, token))
             elif name in EVENTS:
                 self._add(pending, instance, EVENTS[name](_fields(rest)))
-            elif name in ("started", "mail"):
-                _fields(rest)  # no streams and no notes between relays are used here
+            elif name == "started":
+                _fields(rest)  # no streams are used here
             else:
                 raise WireError(f"unknown event '{name}'")
         self._reply(now, pending)
 
+    def _join(self, instance: int, facts: str, seed: int, now: int) -> None:
+        """A part in the fleet, where relays may write to each other."""
+        self.mails.pop(instance, None)
+        pacer = self.pacers[instance]
+        if not pacer.settings.limits.peers or pacer.settings.relays < 2:
+            return
+        from garnetrelay.fleet.mail import Mail  # off costs nothing
+        me = json.loads(facts).get("me")
+        if not isinstance(me, int) or not 0 <= me < pacer.settings.relays:
+            raise WireError(f"facts: me: '{me}' is no number of a relay")
+        self.mails[instance] = Mail(me, pacer.settings.relays, seed, now)
+        self._note(instance, self.mails[instance].begin(now))
+
+    def _mail(self, instance: int, fields: dict[str, str], now: int) -> None:
+        origin = _int(fields, "originPeer")
+        try:
+            data = bytes.fromhex(_need(fields, "data"))
+        except ValueError:
+            raise WireError("field 'data' is not hex") from None
+        if instance in self.mails:
+            self._note(instance, self.mails[instance].mail(now, origin, data))
+
+    def _note(self, instance: int, replies: list[Any]) -> None:
+        from garnetrelay.fleet.mail import Line, Post
+        lines = self.notes.setdefault(instance, [])
+        for reply in replies:
+            if isinstance(reply, Post):
+                lines.append(f"post neighbourId={reply.to} data={reply.data.hex()}")
+            elif isinstance(reply, Line):
+                lines.append(f"emit message={' '.join(reply.text.split())}")
+            else:
+                lines.append(f"defer wait={reply.after} ctx={reply.token}")
+
     def _add(self, pending: dict[int, list[io.Event]], instance: int, event: io.Event) -> None:
         if instance not in self.pacers:
             raise WireError(f"an event for instance {instance}, which has not started")
@@ -263,16 +312,18 @@
 
     def _reply(self, now: int, pending: dict[int, list[io.Event]]) -> None:
         out: list[str] = []
-        for instance, events in pending.items():
+        for instance in {**pending, **self.notes}:
             try:
-                actions = self.pacers[instance].handle(now, events)
+                actions = self.pacers[instance].handle(now, pending[instance]) if instance in pending else []
             except Exception as error:  # the day must stop with the text, not go on without an instance
                 message = " ".join(f"{type(error).__name__}: {error}".split())
                 out += [f"at relay={instance}", f"fatal message={message}"]
                 continue
-            if actions:
+            notes = self.notes.get(instance, [])
+            if actions or notes:
                 out.append(f"at relay={instance}")
                 out.extend(format_action(action) for action in actions)
+                out.extend(notes)
         out.append("done\n")
         self.sink.write("\n".join(out))
         self.sink.flush()
