--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -41,6 +41,7 @@
     draw = random.Random(f"{seed}/starts")
     for name in world.nodes:
         world.at(draw.randrange(SECOND), lambda name=name: world.start(name))  # type: ignore[misc]
+    world.run(SECOND)
     if not world.run(GATHERED * SECOND * max(1, count // 200), world.one_view):
         raise RuntimeError(f"{count} members, seed {seed}: not one view")
     world.run(world.now + 5 * SECOND)
