--- a/tests/fleet/processes.py
+++ b/tests/fleet/processes.py
@@ -60,9 +60,10 @@
     async def upgrade(self) -> None:
         """A new process takes over from the one that runs."""
         old, reading, lines = self.process, self.reading, len(self.lines)
-        await self.start()
         assert old is not None and reading is not None
+        await self.start()
         await self.fleet.until(lambda: self.logged("serves on", lines))
+        old.send_signal(signal.SIGTERM)
         async with asyncio.timeout(PATIENCE):
             await reading
             await old.wait()
