A call that passed to a new process can't be timed out by the old one any more

Seen by reading the change once more: a call's time-out waits two rounds of the loop for a look at the sockets; an upgrade in between cancels the timer (hosts.py, passing), which no longer stops what the timer had put off. Ruled out for the alarm: a closed relay's turn returns. Change: what was put off looks whether its timer was cancelled. Measured: 172 tests of upgrades, operators, delivery, process and relay pass.

--- a/garnetrelay/delivery/http/hosts.py
+++ b/garnetrelay/delivery/http/hosts.py
@@ -77,7 +77,12 @@
     def stops(self) -> None:
         """See that it ends in its time. An answer that lies there by then is read first."""
         self.timer = asyncio.get_running_loop().call_at(
-            self.stop_at / SECOND, after_a_look, self.give_up, io.Status.TIMEOUT)
+            self.stop_at / SECOND, after_a_look, self._time_is_up)
+
+    def _time_is_up(self) -> None:
+        """Unless it has passed to another process since its timer came: that has cancelled the timer."""
+        if self.timer is not None and not self.timer.cancelled():
+            self.give_up(io.Status.TIMEOUT)
 
     def give_up(self, status: io.Status) -> None:
         """Stop waiting: the connection closes with it. What was not written in full never ran."""
