A test that a call which passed to another process is not timed out by the old one

Need: the mend in hosts.py (_time_is_up) had no test. Change: an exchange whose timer has come, and is cancelled while its end waits for a look at the sockets. Measured: passes; fails with the condition in _time_is_up taken out.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -33,6 +33,21 @@
     assert field.relays[0].journal.entries == {} and field.platform.notices.empty()
 
 
+@pytest.mark.parametrize("passed", [True, False])
+async def test_a_call_that_has_passed_to_another_process_is_not_timed_out_here(passed: bool) -> None:
+    outcomes: list[Outcome] = []
+    exchange = hosts.Exchange("s-1", 0, lambda address: None, outcomes.append)
+    exchange.stops()
+    for _ in range(2):
+        await asyncio.sleep(0)  # the timer has come; its end waits for a look at the sockets
+    assert not outcomes and exchange.timer is not None
+    if passed:
+        exchange.timer.cancel()  # as `let_go` does
+    for _ in range(5):
+        await asyncio.sleep(0)
+    assert len(outcomes) == (0 if passed else 1)
+
+
 async def test_attempt_is_on_record_before_its_first_byte(field: Field) -> None:
     client = await field.start()
     await client.enqueue("m1", "unsafe")
