--- a/garnetrelay/fleet/mail.py
+++ b/garnetrelay/fleet/mail.py
@@ -1,15 +1,19 @@
 """A member on the simulator's wire: its frames go by `post` and come by `mail`, 256 bytes each. No I/O.
 
 A relay's number (`me`) stands for its address, and the settings say how many there are: all begin with the same view,
-in which each of them is there in its first process (`presumed`), so nobody has to ask for it. That they are there still
-has to be heard from them (`word_at`). There are no connections: a full exchange goes in pieces, each a frame of its own
-that answers the same question, and holds only what is other than presumed. Both sides presume the same, so the join
-of their words is the same as with all of them. The folder of a simulated relay does not last: a process numbers itself by
-the day's clock, which is one for all, so a later one of a name holds over an earlier one (`claims.py`).
+in which each is there (`presumed`), so nobody has to ask for it. That they are there still has to be heard from them.
+There are no connections: a full exchange goes in pieces, each a frame of its own that answers the same question, and
+holds only what is other than presumed. Both sides presume the same: the join of their words is what it would be with all.
+
+The folder of a simulated relay does not last. A process that follows another within the time of a suspicion is the same
+member: its frames' numbers go on by the day's clock, which is one for all, and nobody has to be told. One that comes
+later hears that its life has ended, and goes on in the next. So a life does not say here whether a process has forgotten
+what it promised: whoever lends has to wait out its leases after its start.
 """
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from collections import deque
 from collections.abc import Iterator
@@ -26,10 +30,13 @@
 MOST = 256  # bytes of a note
 SECRET = b"all relays of a simulated day"
 PORT = 1
-# Notes cost: questions every two seconds, and full exchanges only where views are seen to differ.
-SETTINGS = Settings(most_frame=MOST, probe_every=2 * SECOND, probe_timeout=200_000_000, exchange_every=3600 * SECOND)
-MOST_PROCESS = (1 << 32) - 1
-PROCESS_STEP = 1_000_000  # nanoseconds: no relay starts twice within one
+# Notes cost: few words on them, and full exchanges only where views are seen to differ.
+SETTINGS = Settings(most_frame=MOST, most_words=4, probe_every=2 * SECOND, probe_timeout=200_000_000,
+                    exchange_every=3600 * SECOND)
+LEAST_TRIES = 0.2  # first tries of a relay a second: some 200 relays at limits of a few calls
+WORTH = 0.01  # of a day's result, that notes may cost at most at so many tries
+USUAL_NOTE = 128  # bytes
+STEP = 1000  # nanoseconds of the day for one number of a frame: no relay sends more
 MOST_ASKED = 64  # full exchanges that may still be answered
 FIRST = 1 << 40  # timers of a member have numbers from here on: the module's are lower
 
@@ -69,27 +76,28 @@
 
 
 def presumed(relays: int) -> dict[str, Claim]:
-    """What every relay holds at its beginning, by name: all of them in the processes of the day's first moment."""
-    return {f"r{relay}": claim_of(relay, 0) for relay in range(relays)}
+    """What every relay holds at its beginning, by name."""
+    return {f"r{relay}": Claim(f"r{relay}", 1, 0, 1, 0, Status.ALIVE, *place(relay), SETTINGS.versions)
+            for relay in range(relays)}
 
 
-def claim_of(relay: int, started_at: int) -> Claim:
-    """The word of a relay whose process began at a moment (nanoseconds of the day) on itself."""
-    at = place(relay)
-    process = min(started_at // PROCESS_STEP, MOST_PROCESS)
-    return Claim(f"r{relay}", 1, process, 1, 0, Status.ALIVE, at.host, at.port, SETTINGS.versions)
+def settings_at(price: float) -> Settings:
+    """The time between two probes follows from what notes cost (``price``: points for 256 bytes a first try): a question
+    and its answer in each may take ``WORTH`` off the result."""
+    every = 2 * USUAL_NOTE / MOST * price / (WORTH * LEAST_TRIES)
+    return dataclasses.replace(SETTINGS, probe_every=max(SETTINGS.probe_every, int(every * SECOND)))
 
 
 class Mail:
     """One relay's part in the fleet of a simulated day."""
 
-    def __init__(self, me: int, relays: int, seed: int, now: int) -> None:
+    def __init__(self, me: int, relays: int, seed: int, now: int, price: float = 0.0) -> None:
         self.codec = fr.Codec([SECRET])
-        draw = random.Random(f"{seed}/fleet")
         self.presumed = presumed(relays)
-        own = claim_of(me, now)
-        self.members = Members(own, SETTINGS, draw, now)
-        self._first = self.members.presume(now, [claim for name, claim in self.presumed.items() if name != own.name])
+        others = dict(self.presumed)
+        own = others.pop(f"r{me}")
+        self.members = Members(own, settings_at(price), random.Random(f"{seed}/fleet"), now, sequence=now // STEP)
+        self._first = self.members.presume(now, list(others.values()))
         self.refused = 0
         self._asked: dict[int, int] = {}  # when a full exchange was asked for, by its number
         self._answered: deque[int] = deque(maxlen=MOST_ASKED)
--- a/garnetrelay/fleet/members/protocol.py
+++ b/garnetrelay/fleet/members/protocol.py
@@ -305,7 +305,7 @@
         kept = min(room // 3, len(self._rounds) * fr.WORD.size)  # words get through beside many claims
         claims = self.holding.spreading.take(room - kept, self._limit(), ping.sender.name)
         room -= sum(claim.size() for claim in claims)
-        words = worth.told(self.table, self._rounds, now, room)
+        words = worth.told(self.table, self._rounds, now, min(room, self.settings.most_words * fr.WORD.size))
         self._tell(source, fr.Ack(sender=self.own.claim, sequence=self._next(), number=ping.number, claims=claims,
                                   summary=self._summary(), words=words, heard=min(heard, fr.MOST_AGE)),
                    self._version(member.claim))
--- a/garnetrelay/fleet/members/settings.py
+++ b/garnetrelay/fleet/members/settings.py
@@ -26,6 +26,7 @@
     most_members: int = 1000
     lifeguard: bool = True  # off: plain SWIM, for comparison
     versions: int = 2  # the highest version of frames that is spoken
+    most_words: int = 48  # of others on an answer
     most_frame: int = 1200  # bytes of a datagram; 256 on the simulator's wire
 
     def __post_init__(self) -> None:
--- a/starlingwick/wirehost.py
+++ b/starlingwick/wirehost.py
@@ -260,10 +260,13 @@
         if not pacer.settings.limits.peers or pacer.settings.relays < 2:
             return
         from garnetrelay.fleet.mail import Mail  # off costs nothing
-        me = json.loads(facts).get("me")
+        told = json.loads(facts)
+        me, price = told.get("me"), told.get("prices", {}).get("peer", 0)
         if not isinstance(me, int) or not 0 <= me < pacer.settings.relays:
             raise WireError(f"facts: me: '{me}' is no number of a relay")
-        self.mails[instance] = Mail(me, pacer.settings.relays, seed, now)
+        if not isinstance(price, int | float) or not 0 <= price <= 1000:
+            raise WireError(f"facts: prices.peer: '{price}' is no price")
+        self.mails[instance] = Mail(me, pacer.settings.relays, seed, now, price)
         self._note(instance, self.mails[instance].begin(now))
 
     def _mail(self, instance: int, fields: dict[str, str], now: int) -> None:
