Crossings of watches, drains, clients, calls and notices: ten faults mended, each forced

With SILENCE 4.5 s, few relays came to 6.0 s before the first byte. Now 3.2 s, and at most 1 s more. - _follow: any byte renewed the patience; an indented list was never read (each of its lines by itself); a line that could not be read was skipped and the next one moved the version on (the hole is asked for once more now); an older version took a newer one back. - relay.py on_request: a destination that only the old list lacks was an error, which is final; refused until a line has come. - server.py drain: the close of the listener reset what waited in its queue (ConnectionResetError). - close_between_requests: bytes behind the look make a reset of the close, which takes back an answer the client has not read (ConnectionResetError): a draining relay ends its own side first. - Connection had no eof_received: a client that ended its sending behind a request got no answer (None == b'OK'). - _end_if_idle: ended with a request half way in, and ahead of a turn that was due (finished set, True == False). - hosts.py _go: a call went to the old address of a host that moved while the connection came up; _start wrote a call that had been told as never run. - notices.py: a POST on a connection that fell silent was given up after 500 ms, where an end has 300.

Change: the lines named. Two tests of before said otherwise and are replaced by as strict ones: an unreadable line is asked for again before it is passed over, and an unknown destination is an error once the list is known.

--- a/garnetrelay/delivery/http/hosts.py
+++ b/garnetrelay/delivery/http/hosts.py
@@ -362,7 +362,9 @@
             log.error("opening a connection failed", exc_info=error)
 
     def _go(self, connection: Connection, exchange: Exchange) -> None:
-        request = exchange.prepare(connection.address)
+        # A host may have moved while its connection came up: who listens at the old address now is unknown.
+        moved = self.addresses.get(exchange.host) != connection.address
+        request = None if moved else exchange.prepare(connection.address)
         if request is None:
             self.rest(connection)
             exchange.end(Outcome(io.Status.ABANDONED))
@@ -372,7 +374,7 @@
             self.on_record(functools.partial(self._start, connection, exchange, request))
 
     def _start(self, connection: Connection, exchange: Exchange, request: bytes, recorded: bool) -> None:
-        if recorded and (not self.delayed or self._still_good(connection, exchange)):
+        if recorded and not exchange.ended and (not self.delayed or self._still_good(connection, exchange)):
             connection.start(exchange, request)
         else:
             self.rest(connection)
@@ -380,7 +382,7 @@
 
     def _still_good(self, connection: Connection, exchange: Exchange) -> bool:
         """The record took its time: a last look at all that may have changed."""
-        return not exchange.ended and connection.usable and exchange.still_clear()
+        return connection.usable and exchange.still_clear()
 
     def rest(self, connection: Connection) -> None:
         """Keep a connection for the next call, or not."""
--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -27,6 +27,7 @@
 LINGER = 1.0  # seconds without a byte in which a client that is shut out may still read why
 LONGEST_LINGER = 5.0  # for one that goes on sending what nobody reads
 ACCEPTED_AT_ONCE = 16  # connections taken up before the loop looks at them: each is a descriptor already
+QUIET_LOOKS, QUIET_PAUSE = 5, 0.01  # at a queue of connections, seconds apart, ahead of its end
 LAST_DATA = struct.Struct("=52xI")  # of TCP_INFO: milliseconds since the kernel took in the last data
 COMPLAINTS = 10  # log lines a second about what clients send
 HEADER_WORD = re.compile("[!-~]+")
@@ -138,6 +139,7 @@
         self.replies: deque[Reply] = deque()
         self.lost = False
         self.closing = False
+        self.at_end = False  # the client sends nothing more
         self.heard_at = 0.0  # when the last byte came, or the last request was answered
         self.timer: asyncio.TimerHandle | None = None
         self.transport: asyncio.Transport | None = None
@@ -192,6 +194,12 @@
         self._stop_timer()
         self.server.forget(self)
 
+    def eof_received(self) -> bool:
+        """The client sends nothing more. It may read on: what is owed to it is written before we close too."""
+        self.at_end = True
+        self._stop_timer()
+        return bool(self.replies) and not self.closing
+
     def _expect_command(self) -> None:
         """A connection that says nothing, half of a command, or a byte now and then, is not kept: the time
         runs from its beginning."""
@@ -297,7 +305,11 @@
             self.heard_at = self.server.now()
             self.server.idle.pop(self, None)  # to the end: it has been idle for the shortest time
             self.server.idle[self] = None
-        if self.server.draining and not self.closing:
+        if self.at_end and not self.replies and not self.closing and self.transport is not None:
+            self.closing = True
+            self.server.busy(self)
+            self.transport.close()
+        elif self.server.draining and not self.closing:
             self.close_between_requests()
 
     def fail(self, text: str) -> None:
@@ -347,13 +359,17 @@
         return not poll.poll(0)
 
     def close_between_requests(self) -> None:
-        """Close unless a message would be lost by it. What is unread is answered first, and a draining
-        relay's close comes right behind the answer."""
+        """Close unless a message would be lost by it. What is unread is answered first. A draining relay's close comes
+        right behind an answer, perhaps: a request that crosses it would make a reset of it, which takes back the answer.
+        So only our side ends, until the client has seen that; it hands in on another connection what crossed."""
         if self.between_requests and self.transport is not None:
             self.closing = True
             self._stop_timer()
             self.server.busy(self)
-            self.transport.close()
+            if self.server.draining:
+                self._linger()
+            else:
+                self.transport.close()
 
 
 class Server:
@@ -369,6 +385,7 @@
         self.silent: dict[Connection, None] = {}  # the same, of those that have never asked
         self.lingering: dict[Connection, None] = {}  # told that they are shut out, longest first
         self.draining = False
+        self.on_closed: Callable[[], None] | None = None  # hears of a connection's end, and of the listener's
         self.now: Callable[[], float] = asyncio.get_running_loop().time
         self._complaints: deque[float] = deque(maxlen=COMPLAINTS)
         self._unsaid = 0
@@ -415,11 +432,29 @@
     def drain(self) -> None:
         """Take no new connection, and close the open ones as soon as each is between requests."""
         self.draining = True
-        if self._server is not None:
-            self._server.close()
+        self._stop_once_empty(QUIET_LOOKS)
         for connection in list(self.connections):
             connection.close_between_requests()
 
+    def _stop_once_empty(self, looks: int) -> None:
+        """Those that wait in the listener's queue would be reset with it, and what they ask with them. ``looks``: so many
+        more have to find none, as a client may know of its connection before the queue does."""
+        if self._server is None or not self._server.sockets:
+            return
+        poll = select.poll()
+        poll.register(self._server.sockets[0].fileno(), select.POLLIN)
+        looks = QUIET_LOOKS if poll.poll(0) else looks - 1
+        if looks:
+            asyncio.get_running_loop().call_later(QUIET_PAUSE, self._stop_once_empty, looks)
+            return
+        self._server.close()
+        if self.on_closed is not None:
+            self.on_closed()
+
+    @property
+    def listening(self) -> bool:
+        return self._server is not None and bool(self._server.sockets)
+
     def admit(self) -> bool | None:
         """Whether there is room for one more connection. None: not even to tell it that there is none."""
         if self.room() > 0 or self.close_longest_idle() or self.more_room():
@@ -459,6 +494,8 @@
         self.connections.discard(connection)
         self.busy(connection)
         self.lingering.pop(connection, None)
+        if self.on_closed is not None:
+            self.on_closed()
 
     def complain(self, text: str) -> None:
         """Log what a client did, but not each time: one that sends nonsense at full speed fills no log."""
--- a/garnetrelay/membership/register.py
+++ b/garnetrelay/membership/register.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -16,9 +17,12 @@
 
 log = logging.getLogger(__name__)
 
-ANSWER_TIME = 5.0  # seconds for the watch to be taken up: discovery works through calls in turn
-SILENCE = 4.5  # seconds without a line, of which one comes every 2: the watch is dead
-MOST_LINE = 4 << 20
+# Of the protocol, for all customers alike: a line comes every 2 s, and what a silent watch misses is held to be told
+# 6 s after it fell silent. Its end has to be seen, and the next one answered, within that.
+ANSWER_TIME = 3.0  # seconds for a watch to be connected and taken up: what waits longer is no answer in time
+SILENCE = 3.2  # seconds without a whole line: what comes every 2 s, and half of that for the way here and a busy loop
+MOST_LINE = 4 << 20  # bytes of one version of the list
+IN_QUOTES = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 STATES = {
     "Ready": io.Availability.RUNNING,
@@ -70,6 +74,50 @@
         )
 
 
+class Unread(ValueError):
+    """What came of the list can't be read."""
+
+
+class Lines:
+    """Takes a watch's bytes apart into objects, each on a line of its own or indented over several. No I/O.
+
+    JSON has no line's end inside a string, so a line's quotes and brackets tell whether an object goes on behind it."""
+
+    def __init__(self) -> None:
+        self._begun = b""  # of a line
+        self._object: list[bytes] = []  # whole lines of an object that goes on
+        self._size = 0  # bytes of those
+        self._depth = 0
+
+    def feed(self, data: bytes) -> list[bytes | None]:
+        """The objects that have come whole, None for each empty line between them; Unread where it has no end."""
+        *lines, self._begun = (self._begun + data).split(b"\n")
+        found: list[bytes | None] = []
+        for line in lines:
+            bare = line.strip()
+            if not self._object and not bare:
+                found.append(None)
+            elif bare:
+                self._take(line, found)
+        if self._size + len(self._begun) > MOST_LINE:
+            raise Unread("a line without end")
+        return found
+
+    def _take(self, line: bytes, found: list[bytes | None]) -> None:
+        marks = IN_QUOTES.sub(b"", line)
+        depth = sum(marks.count(mark) for mark in b"{[") - sum(marks.count(mark) for mark in b"}]")
+        if self._object and depth == 0 and b'"endpoints"' in line:  # a version by itself: the one begun has no end
+            found.append(b"".join(self._object))
+            self._object, self._size, self._depth = [], 0, 0
+        self._depth += depth
+        if self._depth > 0:
+            self._object.append(line)
+            self._size += len(line)
+        else:
+            found.append(b"".join((*self._object, line)))
+            self._object, self._size, self._depth = [], 0, 0
+
+
 class Discovery:
     """Watches the list. ``on_news`` gets what comes, None when the watch ended or never came about."""
 
@@ -80,6 +128,8 @@
         self.index = index
         self.on_news = on_news
         self.task: asyncio.Task[None] | None = None
+        self.heard = False  # a line has come in this life: the list is no old one
+        self.asked_again: int | None = None  # the version behind which something came that could not be read
 
     def subscribe(self) -> None:
         """Open a watch, unless one is open or on its way."""
@@ -114,47 +164,57 @@
         self.on_news(None)
 
     async def _watch(self) -> None:
-        async with asyncio.timeout(ANSWER_TIME):
+        due = asyncio.get_running_loop().time() + ANSWER_TIME
+        async with asyncio.timeout_at(due):
             reader, writer = await asyncio.open_connection(self.address.host, self.address.port)
         try:
-            await self._follow(reader, writer)
+            await self._follow(reader, writer, due)
         finally:
             writer.transport.abort()
 
-    async def _follow(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _follow(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, due: float) -> None:
+        """``due``: when it has to be taken up, by the loop's clock. A byte now and then renews nothing behind that: what
+        counts is a whole line."""
         http = h11.Connection(h11.CLIENT)
         target = f"/api/targets?follow=1&since={self.index}"
         writer.write(http.send(h11.Request(
             method="GET", target=target, headers=[("Host", str(self.address))])) or b"")
         writer.write(http.send(h11.EndOfMessage()) or b"")
-        patience, pending = ANSWER_TIME, b""
+        loop, lines = asyncio.get_running_loop(), Lines()
         while True:
             event = http.next_event()
             if event is h11.NEED_DATA:
-                async with asyncio.timeout(patience):
+                async with asyncio.timeout_at(due):
                     http.receive_data(await reader.read(65536))
             elif isinstance(event, h11.Response):
                 if event.status_code != 200:
                     raise ValueError(f"discovery answered {event.status_code}")
-                patience = SILENCE
+                due = loop.time() + SILENCE
                 self.on_news(News(self.index, False, (), {}))  # taken up, also where nothing has changed
             elif isinstance(event, h11.Data):
-                *lines, pending = (pending + bytes(event.data)).split(b"\n")
-                for line in lines:
-                    self._line(line)
-                if len(pending) > MOST_LINE:
-                    raise ValueError("a line without end")
+                for line in lines.feed(bytes(event.data)):
+                    due = loop.time() + SILENCE
+                    self.heard = True
+                    if line is not None:
+                        self._line(line)
             elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                 raise ConnectionError("discovery closed it")
 
     def _line(self, line: bytes) -> None:
-        if not line.strip():
-            return
+        """Take over a version. What can't be read leaves a hole, a drain perhaps, that no later line fills: it is asked
+        for once more, on another watch. If that can't be read either, the lines behind it count again."""
         try:
             news = self.reader.read(json.loads(line))
         except ValueError as error:
+            if self.asked_again != self.index:
+                self.asked_again = self.index
+                raise Unread(f"a line can't be read, it is asked for again: {error}") from None
             log.warning("a line of the list can't be read, the last list stays: %s", error)
             return
+        if news.index < self.index and not news.whole:
+            # Another count of versions, or an old word that would take back a newer one.
+            behind, self.index = self.index, 0
+            raise Unread(f"version {news.index} came behind {behind}: the whole list is asked for")
         self.index = news.index
         if news.whole:
             log.info("whole list, version %d: %d hosts", news.index, len(news.entries))
--- a/garnetrelay/platform/notices.py
+++ b/garnetrelay/platform/notices.py
@@ -17,8 +17,11 @@
 
 log = logging.getLogger(__name__)
 
-ANSWER_TIME = 0.5  # seconds; the platform answers at once, and an end has to be told within 300 ms or so
-FIRST_PAUSE, LONGEST_PAUSE = 0.05, 1.0
+# Of the protocol: the platform answers at once, and an end has to be told within 300 ms of a message's time. A connection
+# may have fallen silent since its last POST: half of that is for finding out, the rest for another connection.
+ANSWER_TIME, LONGEST_ANSWER_TIME = 0.12, 1.0  # seconds; longer after each POST without one, if the platform is just slow
+OPEN_TIME = 0.5
+FIRST_PAUSE, LONGEST_PAUSE = 0.02, 1.0
 MOST_BODY = 60_000  # bytes of one POST: the platform reads 64 KiB
 
 _encode = json.JSONEncoder(separators=(",", ":")).encode
@@ -65,6 +68,7 @@
         self.out: list[str] = []  # those of the POST that has no answer yet
         self.alone = False  # a batch was not understood: one at a time finds the culprit
         self.pause = FIRST_PAUSE
+        self.patience = ANSWER_TIME
         self.link: Link | None = None
         self.opening: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None  # for an answer, or until the next try
@@ -107,10 +111,10 @@
         body = b"\n".join(lines) + b"\n"
         self.link.post(b"POST /v1/notices HTTP/1.1\r\nHost: %s\r\nContent-Type: application/x-ndjson\r\n"
                        b"Content-Length: %d\r\n\r\n" % (str(self.address).encode(), len(body)) + body)
-        self.timer = asyncio.get_running_loop().call_later(ANSWER_TIME, self._failed, "no answer in time")
+        self.timer = asyncio.get_running_loop().call_later(self.patience, self._overdue)
 
     async def _open(self) -> None:
-        async with asyncio.timeout(ANSWER_TIME):
+        async with asyncio.timeout(OPEN_TIME):
             _, self.link = await asyncio.get_running_loop().create_connection(
                 lambda: Link(self), self.address.host, self.address.port)
 
@@ -137,7 +141,7 @@
             told, self.out = self.out, []
             for ref in told:
                 del self.queue[ref]
-            self.alone, self.pause = False, FIRST_PAUSE
+            self.alone, self.pause, self.patience = False, FIRST_PAUSE, ANSWER_TIME
             self._stop_timer()
             if not keep:
                 self._drop_link()
@@ -160,6 +164,10 @@
             if self.out:
                 self._failed("closed without an answer")
 
+    def _overdue(self) -> None:
+        self.patience = min(2 * self.patience, LONGEST_ANSWER_TIME)
+        self._failed("no answer in time")
+
     def _failed(self, why: str) -> None:
         """Try again on another connection, after a pause that grows."""
         log.warning("notices not taken: %s", why)
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -27,6 +27,7 @@
 from garnetrelay.lag import Lag
 from garnetrelay.looks import PAUSE, after_a_look
 from garnetrelay.platform.notices import Notices
+from garnetrelay.untried import Untried
 from starlingwick import interface as io
 from starlingwick.control import MAY_HAVE_RUN, Pacer
 
@@ -48,6 +49,7 @@
 BROKEN_PAUSE = 0.25  # seconds until a folder that takes no records is tried again
 SLICE = 1000  # messages picked up in a round of the loop: some ten milliseconds
 MOST_GONE = 4096  # hosts that have left the list and are still known by name
+NEAR_END = SECOND // 10  # before a message's time: an end that is due by the clock comes no earlier
 DRAIN_AFTER = 0.6  # seconds after SIGTERM: new connections come for up to 0.4 s
 
 
@@ -99,6 +101,8 @@
         message, zones = self.message, self.relay.config.zone_names
         name = zones[message.zone] if 0 <= message.zone < len(zones) else ""
         self.written = self.relay.journal.trying(message.ref, name, time.time_ns() // MS)
+        if self.written and self.relay.untried.on_try(message.ref):
+            log.info("%s", self.relay.untried)
         return net.call(address, message.ref, message.key, message.body, self.stop_at) if self.written else None
 
     def still_clear(self) -> bool:
@@ -143,6 +147,7 @@
         self.hearing: Hearing | None = None
         self.dests: set[int] = set()  # all that the list has ever named
         self.held: dict[str, Held] = {}
+        self.untried = Untried()
         self.recovering: deque[Entry] = deque()  # picked up, and not yet with the Pacer
         self.newcomers: dict[str, Newcomer] = {}
         self.inbox: list[io.Event] = []
@@ -163,6 +168,7 @@
         self.hosts = net.Hosts(config.settings, self._host_room, lambda: self.server.close_longest_idle(),
                                self.journal.on_record, config.machine_durable)
         self.server = Server(self.on_request, self._client_room, self._more_client_room)
+        self.server.on_closed = self._end_if_idle
         self.reader = Reader(config)
         self.discovery = Discovery(config.discovery, self.reader, 0, self.on_news)
         self.notices = Notices(config.discovery, self._told)
@@ -257,8 +263,10 @@
         self._end_if_idle()
 
     def _end_if_idle(self) -> None:
+        """The end, unless anything is held, owed, on its way, or may yet come on a connection that is open."""
         if self.server.draining and not (
-                self.held or self.recovering or self.notices.queue or self.unreleased):
+                self.held or self.recovering or self.notices.queue or self.unreleased or self.turn_due or self.inbox
+                or self.newcomers or self.server.connections or self.server.listening):
             self.finished.set()
 
     def retire(self) -> None:
@@ -275,6 +283,8 @@
             self.fleet.close()
 
     def close(self) -> None:
+        if self.untried.left:
+            log.info("%s", self.untried)
         if self.fleet is not None and self.stopping:
             self.fleet.leave()
         self.retire()
@@ -372,6 +382,8 @@
     def _take_up(self, entries: list[Entry]) -> None:
         now_ms = time.time_ns() // MS
         for entry in entries:
+            if not entry.attempts:
+                self.untried.find(entry.ref)
             ends_at = time.monotonic_ns() + (entry.deadline - now_ms) * MS
             self.held[entry.ref] = Held(entry.ref, entry.klass, entry.key, entry.body, ends_at, entry.attempts)
             self.post(self._recovered(entry, now_ms))
@@ -405,6 +417,10 @@
         if request.klass not in self.class_numbers:
             raise Rejected(f"unknown class '{request.klass[:40]}'")
         if request.dest not in self.dests:
+            if not self.discovery.heard:  # the list that we started with may be old: that it does not name it says little
+                self.counts.refused[request.klass] += 1
+                reply.busy(0)
+                return
             raise Rejected(f"unknown destination {request.dest}")
         klass = self.settings.classes[self.class_numbers[request.klass]]
         if klass.repeat is io.Repeat.KEYED and request.key is None:
@@ -676,6 +692,8 @@
         if message.over:
             return
         message.over = True
+        if self.untried.on_end(message.ref, time.monotonic_ns() >= message.ends_at - NEAR_END):
+            log.info("%s", self.untried)
         by_class = self.counts.served if result is None else (
             self.counts.failed if result == "dead" else self.counts.refused)
         by_class[message.klass] += 1
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -65,6 +65,7 @@
 UNUSED = 0.85  # this much left for seconds, and others leave their parts
 UNUSED_PART = 8.0  # what of its part a relay sends more for each whole of a limit beyond that
 ASK_SHARE = SECOND // 10  # of discovery's time, for each relay that may ask as well
+ASK_SOON = SECOND  # at most, until a watch that broke is opened anew: what it misses counts as told soon
 BURST = 2  # calls that may catch up on an allowance
 BUDGET = 0.9  # of this relay's part of what a cold destination can take: the estimate of capacity is noisy
 
@@ -282,11 +283,17 @@
 
     def on_roster(self, event: Roster) -> None:
         if event.scope is ListScope.FAILED:
-            self.subscribed = False
-            if self.settings.discovery is Discovery.SUBSCRIBE:
-                self.ask_at = self.now + round(self.ask_step * self.random.uniform(0.5, 1.0))
+            # One that worked fell silent or was closed: the list is old soon. One that was not taken up says
+            # that discovery is down or has too many callers.
+            worked, self.subscribed = self.subscribed, False
+            if worked:
+                gap = self.random.uniform(0.0, min(ASK_SOON, ASK_SHARE * self.settings.relays))
+                self.ask_step = min(2 * ASK_SOON, self.first_step())
+            else:
+                gap = self.ask_step * self.random.uniform(0.5, 1.0)
                 most = min(4 * ASK_SHARE * self.settings.relays, self.settings.rules.ask_every)
                 self.ask_step = min(2 * self.ask_step, max(self.first_step(), most))
+            self.ask_at = self.now + round(gap)
             return
         if event.scope is not ListScope.CACHED:
             self.subscribed = True
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,366 @@
+"""Pairs of events that cross, each forced by a gate on a stand-in or by an event (docs/design/041-crossings.md)."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import select
+import socket
+from typing import Any
+
+import hiredis
+import pytest
+
+from garnetrelay.config.deployment import Address
+from garnetrelay.delivery.http import hosts
+from garnetrelay.delivery.http.answers import Outcome
+from garnetrelay.fronts.resp import server as clients
+from garnetrelay.membership import register
+from garnetrelay.membership.register import Lines, Unread
+from garnetrelay.platform import notices
+from garnetrelay.rehearsal.http import Call
+from garnetrelay.rehearsal.scripted import PATIENCE, ScriptedHost
+from starlingwick import interface as io
+from tests.sockets import Field, endpoint, listing, until
+
+
+def enqueue(ref: str, klass: str = "safe", d: int = 8000) -> bytes:
+    words: tuple[Any, ...] = ("ENQUEUE", "0000", ref, f"c={klass},d={d},k=key-{ref},dest=3", "x")
+    return bytes(hiredis.pack_command(words))
+
+
+# ---- watches and lists
+
+async def test_a_pushed_list_whose_watch_ended_is_watched_anew(field: Field) -> None:
+    """Where changes come by themselves nobody asks for them: a watch that ended stayed ended."""
+    field.facts["discovery"] = "automatic"
+    await field.start()
+    watch = await field.platform.next_watch()
+    watch.line("")
+    await until(lambda: field.relays[0].discovery.heard)
+    watch.call.break_off()
+    again = await field.platform.next_watch()
+    again.line(listing(50, endpoint(field.host, status="Terminating")))
+    await until(lambda: not field.relays[0].pacer.hosts["s-1"][1].usable)
+
+
+async def test_a_watch_that_broke_is_opened_anew_within_a_second_among_200_relays(field: Field) -> None:
+    """What it misses counts as told 6 s after it fell silent. The gaps of a crowded discovery (20 to 40 s among 200)
+    are for watches that were not taken up."""
+    field.facts["balancers"] = 200
+    await field.start()
+    relay = field.relays[0]
+    await until(lambda: relay.pacer.ask_at < relay.pacer.now + 21 * 10**9)
+    relay.discovery.subscribe()  # its turn among 200 has come
+    watch = await field.platform.next_watch()
+    await until(lambda: relay.pacer.subscribed)
+    watch.call.break_off()
+    await until(lambda: not relay.pacer.subscribed)
+    assert relay.pacer.ask_at - relay.pacer.now <= 10**9
+    await field.platform.next_watch()
+
+
+async def test_bytes_that_make_no_line_do_not_keep_a_watch_alive(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A trickle of bytes from a service that is stuck renewed its patience for ever."""
+    monkeypatch.setattr(register, "SILENCE", 0.1)
+    await field.start()
+    watch = await field.platform.next_watch()
+
+    async def trickle() -> None:
+        while True:
+            watch.call.raw(b"1\r\n \r\n")
+            await asyncio.sleep(0)
+
+    dripping = asyncio.create_task(trickle())
+    await field.platform.next_watch()
+    dripping.cancel()
+
+
+async def test_an_indented_list_is_read(field: Field) -> None:
+    await field.start()
+    watch = await field.platform.next_watch()
+    watch.line(json.dumps(json.loads(listing(42, endpoint(field.host, status="Terminating"))), indent=2))
+    await until(lambda: field.relays[0].discovery.index == 42)
+    await until(lambda: not field.relays[0].pacer.hosts["s-1"][1].usable)
+    assert watch.call.connection.lost is False
+
+
+@pytest.mark.parametrize("size", [1, 7, 1000])
+def test_objects_come_out_of_any_pieces(size: int) -> None:
+    versions = [{"index": n, "endpoints": [{"name": f'q"}}]{{\\{n}', "weight": [1, {}]}]} for n in range(4)]
+    texts = [json.dumps(versions[0]), json.dumps(versions[1], indent=4), "", json.dumps(versions[2], indent=0),
+             json.dumps(versions[3])]
+    data, lines = "".join(f"{text}\n" for text in texts).encode(), Lines()
+    found = [one for at in range(0, len(data), size) for one in lines.feed(data[at:at + size])]
+    assert found.count(None) == 1 and [json.loads(one) for one in found if one is not None] == versions
+
+
+def test_an_object_without_an_end_takes_no_later_version_with_it_and_no_memory(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    lines = Lines()
+    whole = listing(8).encode()
+    assert lines.feed(b'{"index":7,"endpoints":[\n' + whole + b"\n") == [b'{"index":7,"endpoints":[', whole]
+    monkeypatch.setattr(register, "MOST_LINE", 100)
+    with pytest.raises(Unread):
+        lines.feed(b'{"index":9,"endpoints":[\n' + b" 1,\n" * 40)
+
+
+async def test_what_could_not_be_read_is_asked_for_though_a_later_line_can(field: Field) -> None:
+    """The later line moved the version on: the hole, a drain perhaps, was never asked for."""
+    await field.start()
+    watch = await field.platform.next_watch()
+    watch.line(listing(42))
+    await until(lambda: field.relays[0].discovery.index == 42)
+    watch.line("{spoilt}")
+    watch.line(listing(44))
+    again = await field.platform.next_watch()
+    assert again.call.target.endswith("since=42")
+    again.line(listing(44, endpoint(field.host, status="Terminating")))
+    await until(lambda: not field.relays[0].pacer.hosts["s-1"][1].usable)
+
+
+async def test_an_old_version_behind_a_newer_one_takes_nothing_back(field: Field) -> None:
+    await field.start()
+    watch = await field.platform.next_watch()
+    watch.line(listing(43, endpoint(field.host, status="Terminating")))
+    watch.line(listing(42, endpoint(field.host)))
+    again = await field.platform.next_watch()
+    assert again.call.target.endswith("since=0")
+    assert not field.relays[0].pacer.hosts["s-1"][1].usable
+
+
+async def test_a_destination_that_only_an_old_list_lacks_is_no_failure(field: Field) -> None:
+    """A failure is for good; the destination may be one that came while this relay was down."""
+    client = await field.start()
+    assert await client.enqueue("m1", dest=4) == "BUSY"
+    watch = await field.platform.next_watch()
+    watch.line(listing(42, {**endpoint(field.host, "s-4"), "group": 4}))
+    await until(lambda: field.relays[0].discovery.index == 42)
+    assert await client.enqueue("m2", dest=4) == b"OK"
+
+
+# ---- clients
+
+async def test_a_client_that_ends_its_sending_behind_a_request_still_hears_its_answer(field: Field) -> None:
+    client = await field.start()
+    relay = field.relays[0]
+    turn = relay._turn_soon
+    relay._turn_soon = lambda: None  # type: ignore[method-assign]  # the turn waits: the end of its sending comes first
+    client.writer.write(enqueue("m1"))
+    client.writer.write_eof()
+    await until(lambda: bool(relay.newcomers))
+    (connection,) = relay.server.connections
+    await until(lambda: connection.at_end)
+    relay._turn_soon = turn  # type: ignore[method-assign]
+    relay.turn()
+    assert await client.read() == b"OK" and await client.read() is None
+    (await field.host.next_call()).answer(200)
+    await until(lambda: not field.relays[0].held and not field.relays[0].server.connections)
+
+
+# ---- shutdown
+
+async def test_connections_in_the_listeners_queue_are_served_before_it_closes(field: Field) -> None:
+    """The loop has not come to them when the drain begins: a close of the listener would reset them."""
+    await field.start()
+    relay = field.relays[0]
+    waiting = []
+    for n in range(40):  # more than are taken up in one round
+        one = socket.create_connection(("127.0.0.1", field.port))
+        one.sendall(enqueue(f"m{n}"))
+        waiting.append(one)
+    relay.server.drain()
+    for one in waiting:
+        one.setblocking(False)
+        async with asyncio.timeout(PATIENCE):
+            assert await asyncio.get_running_loop().sock_recv(one, 100) == b"+OK\r\n"
+        one.close()
+    await until(lambda: not relay.server.connections and not relay.server.listening)
+
+
+async def test_a_request_that_crosses_a_draining_relays_close_does_not_take_the_answer_back(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The client has not read its answer yet, and sends on. Bytes unread at a close make a reset of it, which throws
+    away what the client has not read."""
+    await field.start()
+    relay = field.relays[0]
+    client = socket.create_connection(("127.0.0.1", field.port))
+    client.sendall(hiredis.pack_command(("PING",)))
+    await until(lambda: bool(relay.server.idle))
+    (connection,) = relay.server.connections
+    found = vars(clients.Connection)["between_requests"]
+
+    def crossed(one: clients.Connection) -> bool:
+        clear = found.fget(one)
+        client.sendall(enqueue("m1"))  # behind the look, ahead of the close
+        return bool(clear)
+
+    monkeypatch.setattr(clients.Connection, "between_requests", property(crossed))
+    relay.server.drain()
+    await until(lambda: connection.closing)
+    for _ in range(5):
+        await asyncio.sleep(0)
+    await until(lambda: readable(client))
+    answers = b""
+    client.settimeout(PATIENCE)
+    while piece := client.recv(100):
+        answers += piece
+    assert answers == b"+PONG\r\n" and not relay.held
+    client.close()
+    await until(lambda: not relay.server.connections)
+
+
+def readable(one: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(one.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+async def test_a_stopping_relay_does_not_end_while_a_request_is_half_way_in(field: Field) -> None:
+    client = await field.start()
+    relay = field.relays[0]
+    command = enqueue("m1")
+    client.writer.write(command[:30])
+    await until(lambda: any(connection.raw for connection in relay.server.connections))
+    relay.stop()
+    relay._drain()
+    relay._end_if_idle()
+    assert not relay.finished.is_set()
+    client.writer.write(command[30:])
+    assert await client.read() == b"OK" and await client.read() is None
+    client.writer.close()
+    (await field.host.next_call()).answer(200)
+    await asyncio.wait_for(relay.finished.wait(), PATIENCE)
+    assert not relay.held
+
+
+async def test_a_stopping_relay_does_not_end_ahead_of_a_turn_that_is_due(field: Field) -> None:
+    """A request has come, and its turn has not: nothing is held yet."""
+    client = await field.start()
+    relay = field.relays[0]
+    handler = relay.server.handler
+    ended = []
+
+    def asked(request: clients.Request, reply: clients.Reply) -> None:
+        handler(request, reply)
+        relay.server.draining = True  # it drains just now
+        relay._end_if_idle()
+        ended.append(relay.finished.is_set())
+
+    relay.server.handler = asked
+    client.writer.write(enqueue("m1"))
+    assert await client.read() == b"OK" and ended == [False]
+    client.writer.close()
+    relay._drain()
+    (await field.host.next_call()).answer(200)
+    relay.stop()
+    await asyncio.wait_for(relay.finished.wait(), PATIENCE)
+    assert not relay.held
+
+
+# ---- calls
+
+async def test_a_host_that_moved_while_its_connection_came_up_gets_no_call_at_the_old_address(field: Field) -> None:
+    other = ScriptedHost()
+    await other.start()
+    client = await field.start()
+    watch = await field.platform.next_watch()
+    net = field.relays[0].hosts
+    begin = net.begin
+    gate = asyncio.Event()
+    connect = net._connect
+
+    async def late(exchange: hosts.Exchange, address: Address) -> None:
+        await gate.wait()
+        await connect(exchange, address)
+
+    net._connect = late  # type: ignore[method-assign]
+    await client.enqueue("m1", "unsafe")
+    await until(lambda: bool(net.opening))
+    watch.line(listing(42, endpoint(other)))
+    await until(lambda: field.relays[0].discovery.index == 42)
+    gate.set()
+    call = await other.next_call()
+    assert call.headers["x-request-id"] == "m1" and field.host.calls.empty()
+    call.answer(200)
+    await until(lambda: not field.relays[0].held)
+    assert net.begin == begin
+    await other.stop()
+
+
+async def test_a_call_that_was_given_up_while_its_record_was_under_way_is_not_written(field: Field) -> None:
+    """Told as one that never ran, it must not run."""
+    await field.start()
+    net = field.relays[0].hosts
+    outcomes: list[Outcome] = []
+    later: list[object] = []
+    net.on_record = later.append
+    exchange = hosts.Exchange("s-1", 1 << 62, lambda address: hosts.probe(address, False), outcomes.append)
+    net.begin(exchange)
+    await until(lambda: bool(later))
+    exchange.give_up(io.Status.CANCELLED)
+    assert [one.status for one in outcomes] == [io.Status.CONNECT_FAILED]
+    started = later.pop()
+    assert callable(started)
+    started(True)
+    assert exchange.connection is None and any(net.idle.values())
+
+
+# ---- restarts
+
+async def test_what_became_of_what_a_restart_found_untried_is_in_the_log(
+        field: Field, caplog: pytest.LogCaptureFixture) -> None:
+    field.facts["familyInfo"]["callsOut"] = 1
+    client = await field.start()
+    watch = await field.platform.next_watch()
+    watch.line(listing(42, endpoint(field.host, status="Terminating")))
+    await until(lambda: field.relays[0].discovery.index == 42)
+    for n in range(5):
+        assert await client.enqueue(f"m{n}") == b"OK"
+    field.relays.pop().close()
+    caplog.set_level("INFO")
+    client = await field.start()
+    for _ in range(5):
+        (await field.host.next_call()).answer(200)
+    await until(lambda: not field.relays[0].held)
+    assert "5 found untried: 5 tried, with no call 0 ended at their time and 0 before, 0 left" in caplog.text
+
+
+
+
+# ---- notices
+
+async def test_an_end_is_told_in_time_though_the_connection_to_the_platform_has_fallen_silent(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Finding out takes no longer than half of the 300 ms in which an end has to be told."""
+    assert 2 * (notices.ANSWER_TIME + notices.FIRST_PAUSE) <= 0.3
+    client = await field.start()
+    take = field.platform.take
+    silent: list[Any] = []
+
+    def muted(call: Call) -> None:
+        if call.method == "POST" and (not silent or call.connection is silent[0]):
+            silent.append(call.connection)
+        else:
+            take(call)
+
+    monkeypatch.setattr(field.platform, "handler", muted)
+    await client.enqueue("m1", "unsafe")
+    (await field.host.next_call()).answer(500)
+    assert await field.platform.next_notice() == {"ref": "m1", "result": "dead"}
+    assert len(silent) == 1 and silent[0].lost
+    await until(lambda: field.relays[0].journal.entries == {})
+
+
+async def test_a_platform_that_is_slow_is_given_longer_until_it_has_answered(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Were each POST given up as soon, one that takes longer to answer would never be heard."""
+    await field.start()
+    relay = field.relays[0]
+    waits: list[float] = []
+    monkeypatch.setattr(field.platform, "handler", lambda call: waits.append(relay.notices.patience))
+    relay.notices.tell("m1", "dead", 0)
+    relay.notices.send()
+    await until(lambda: len(waits) == 3)
+    assert waits == [notices.ANSWER_TIME, 2 * notices.ANSWER_TIME, 4 * notices.ANSWER_TIME]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -95,6 +95,8 @@
 async def test_request_that_makes_no_sense_gets_an_error_and_the_connection_stays(
         field: Field, words: tuple[str | bytes, ...]) -> None:
     client = await field.start()
+    (await field.platform.next_watch()).line("")  # before that, a destination that is not listed may be a new one
+    await until(lambda: field.relays[0].discovery.heard)
     assert (await client.ask(*words)).startswith("ERR")
     assert await client.ask("PING") == b"PONG"
     assert field.relays[0].held == {}
@@ -532,8 +534,10 @@
     other = ScriptedHost()
     await other.start()
     watch.line("")
-    watch.line("{not a list")
-    watch.line('{"index":42,"snapshot":true,"endpoints":[{"name":"s-9"}]}')
+    watch.line("not a list")  # a drain, perhaps: it is asked for once more
+    watch = await field.platform.next_watch()
+    assert watch.call.target == "/api/targets?follow=1&since=41"
+    watch.line('{"index":42,"snapshot":true,"endpoints":[{"name":"s-9"}]}')  # nor can that be read: what follows counts
     watch.line(listing(43, endpoint(field.host, status="Terminating"), endpoint(other, "s-2")))
     await until(lambda: field.relays[0].discovery.index == 43)
     await client.enqueue("m1")
