What a restart finds taken on and untried is tried: ahead of newcomers, in time

Lines at fault: Pacer.price and cheap took what was taken up for shedding first, as with its time half over it earns least; look ended it as hopeless by our own spacing and rests, which are no rule; by_urgency let fresher and dearer ones go first until its time was up.

Change: a message recovered with no attempt is owed a try until a call with it had a fate (an abandoned one is none). It is not shed, is ended ahead of its time only by a told wait beyond it, and goes first once all that is owed at its destination could otherwise not be tried at the pace that it takes.

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -162,6 +162,7 @@
     not_before: int = 0
     ran_at: int | None = None  # when the first attempt that may have run was sent
     ran_zone: int = 0
+    owed: bool = False  # an earlier life never tried it: it is not given up while a call is allowed
     over: bool = False
     aim_at: int = field(init=False)
 
@@ -187,6 +188,7 @@
         self.touched: dict[Lane[Message], None] = {}  # lanes that an event concerns, not looked at since
         self.fresh: list[Lane[Message]] = []  # of those, the ones that came to be in this turn
         self.open: Ranking[Lane[Message]] = Ranking()  # lanes that may send, by their most urgent message
+        self.owed: dict[int, dict[str, Message]] = {}  # by destination number, soonest deadline first
         self.suspects: dict[Lane[Message], None] = {}  # of those, the ones with a destination in trouble
         self.opening: Due[Lane[Message]] = Due()  # when closed ones open
         self.looks: Due[Lane[Message]] = Due()  # when to look at one again though nothing opens it
@@ -388,7 +390,7 @@
         """Take up again what an earlier life held: its attempts count on, and so does what may have run."""
         klass = self.settings.classes[r.klass]
         m = Message(r.call, klass, r.dest, r.key if klass.in_turn else None, klass.worth, self.now,
-                    self.now + r.patience, (r.klass, klass.worth), attempts=r.attempts)
+                    self.now + r.patience, (r.klass, klass.worth), attempts=r.attempts, owed=self.owes_try(r))
         if r.ran_ago is not None:
             m.ran_at, m.ran_zone = self.now - r.ran_ago, r.ran_zone
         self.messages[r.call] = m
@@ -402,8 +404,38 @@
         elif self.is_spent(m):
             self.end(m)
         else:
+            if m.owed:
+                self.owed.setdefault(m.dest, {})[m.name] = m
             self.enter(m)
 
+    def owes_try(self, r: Recovered) -> bool:
+        """Whether an earlier life took it on and never tried it."""
+        return not r.attempts and r.ran_ago is None
+
+    def settle_owed(self, m: Message) -> None:
+        """It has been tried, or is over."""
+        m.owed = False
+        owed = self.owed.get(m.dest)
+        if owed is not None and owed.pop(m.name, None) is not None and not owed:
+            del self.owed[m.dest]
+
+    def pressing(self, lane: Lane[Message]) -> list[Message]:
+        """What an earlier life left untried and has to go now, if all of it is to be tried in its time at the
+        pace that its destination takes: fresher ones are worth more, and would always go first."""
+        owed = [m for m in self.owed.get(lane.number, {}).values()
+                if m.call is None and m.name not in lane.aside]
+        if not owed:
+            return []
+        pace = sum(self.rate(r.sent, SENT_SPAN) for r in self.routes.get(lane.number, ()))
+        gap = round(SECOND / max(pace, SECOND / CUT_SPAN))
+        found: list[Message] = []
+        start = NEVER
+        for m in reversed(owed):
+            start = min(start - gap, m.deadline - m.klass.aim)
+            if self.now >= start:
+                found.append(m)
+        return found[::-1]
+
     def take_up(self, m: Message, name: str, zone: int, sent_at: int) -> None:
         """A call that was sent before this Pacer was made: it holds its slot, also at a host that is gone."""
         gone = (Destination(m.dest, 1), Host(name, zone, usable=False))
@@ -464,6 +496,10 @@
             return m.klass.key_scope is Scope.ALL
         return m.klass.repeat is Repeat.SAFE
 
+    def may_shed(self, m: Message) -> bool:
+        """Whether a message may make room for others: that of an earlier life has been promised a try."""
+        return not m.owed and self.may_refuse(m)
+
     def may_repeat(self, m: Message, host: Host | None) -> bool:
         """Rule 2: whether a message may be sent (to that host, or to any) after what may have run."""
         if m.ran_at is None or m.klass.repeat is Repeat.SAFE:
@@ -493,6 +529,8 @@
         if not m.over:
             m.over = True
             self.held -= 1
+            if m.owed:
+                self.settle_owed(m)
         self.leave(m)
         if m.call is None:
             self.messages.pop(m.name, None)
@@ -565,7 +603,7 @@
             candidates += self.cheap(queue, turn)
         for m in candidates:
             key = (self.worth_at(m, turn), self.worth_at(m, self.now), -m.arrived, -m.serial)
-            if (best is None or key < best[1]) and self.may_refuse(m):
+            if (best is None or key < best[1]) and self.may_shed(m):
                 best = (m, key)
         if best is None:
             self.cheapest.drop(lane)
@@ -578,12 +616,12 @@
         so it is the first that may be refused, or the newest of those that earn as little."""
         if len(queue) <= LOOKED_AT // 4:
             return list(queue)
-        first = next(filter(self.may_refuse, queue), None)
+        first = next(filter(self.may_shed, queue), None)
         if first is None:
             return []
         alike = min(self.earns_alike(first, turn), self.earns_alike(first, self.now))
         end = queue.until(alike) if alike < NEVER else len(queue)
-        newest = (m for m in queue.before(end) if self.may_refuse(m))
+        newest = (m for m in queue.before(end) if self.may_shed(m))
         return [first, *itertools.islice(newest, 4)]
 
     def earns_alike(self, m: Message, when: int) -> int:
@@ -618,6 +656,8 @@
             self.learn(call, v.status, v.cost, v.wait, v.report)
         if v.wait:  # rule 6; every outcome may tell a wait, also the others of one call
             call.dest.wait_until = max(call.dest.wait_until, self.now + v.wait)
+        if m.owed and v.status is not Status.ABANDONED:
+            self.settle_owed(m)
         if v.status in MAY_HAVE_RUN and m.ran_at is None:
             m.ran_at, m.ran_zone = call.sent_at, call.host.zone
         if v.status in MAY_STILL_RUN and m.key is not None:
@@ -1022,7 +1062,9 @@
         self.opening.put(lane, opens)
         if opens >= NEVER:
             return []
-        return [(m, opens) for m in lane.due_by(opens) if self.may_refuse(m)]
+        told = min(route.wait_until for route in self.routes[lane.number])
+        return [(m, opens) for m in lane.due_by(opens)
+                if self.may_refuse(m) and (not m.owed or told >= m.deadline)]
 
     def close(self, lane: Lane[Message]) -> None:
         self.open.drop(lane)
@@ -1031,7 +1073,9 @@
     def by_urgency(self, lane: Lane[Message], most: int) -> Iterator[tuple[Key, Message]]:
         """What may go of a lane, most urgent first, with its key. Where much waits, so many of each queue are
         weighed at first, about the places of its order where urgency peaks; more if these do not do."""
-        seen: set[int] = set()
+        pressing = self.pressing(lane)
+        seen = {m.serial for m in pressing}
+        yield from (((-math.inf, m.deadline, m.arrived, lane.entered, m.serial), m) for m in pressing)
         wanted = most
         suspect = all(dest.bad > SUSPECT for dest in self.routes.get(lane.number, ()))
         while True:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,6 +6,7 @@
 import json
 import select
 import socket
+import time
 from typing import Any
 
 import hiredis
@@ -20,6 +21,8 @@
 from garnetrelay.platform import notices
 from garnetrelay.rehearsal.http import Call
 from garnetrelay.rehearsal.scripted import PATIENCE, ScriptedHost
+from garnetrelay.store.format import Entry
+from garnetrelay.store.store import Store
 from starlingwick import interface as io
 from tests.sockets import Field, endpoint, listing, until
 
@@ -329,6 +332,30 @@
 
 
 
+async def test_a_hold_that_newcomers_fill_gives_up_nothing_that_an_earlier_life_left_untried(field: Field) -> None:
+    """It earns least, as its time is half over: it was refused first, with no call."""
+    field.facts["limits"]["mostHeld"] = 20
+    now = time.time_ns() // 1_000_000
+    journal = Store.open(field.state, 3_000_000)
+    for n in range(15):
+        journal.taken(Entry(f"old{n}", "safe", 3, None, now + 4000, b"x"))
+    journal.close()
+    client = await field.start()
+    for n in range(20):
+        client.write("ENQUEUE", "0000", f"new{n}", "c=safe,d=8000,dest=3", "x")
+    for _ in range(20):
+        assert await client.read() in (b"OK", "BUSY")
+    called: set[str] = set()
+    while len(called) < 15:
+        call = await field.host.next_call()
+        call.answer(200)
+        if call.headers["x-request-id"].startswith("old"):
+            called.add(call.headers["x-request-id"])
+    await until(lambda: not field.relays[0].held)
+    while not field.platform.notices.empty():
+        assert field.platform.notices.get_nowait()["ref"].startswith("new")
+
+
 # ---- notices
 
 async def test_an_end_is_told_in_time_though_the_connection_to_the_platform_has_fallen_silent(
