--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -19,7 +19,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from starlingwick.hold import NEVER, Due, Key, Lane, Queue, Ranking
+from starlingwick.hold import NEVER, Due, Key, Lane, Owed, Queue, Ranking
 from starlingwick.interface import (
     Action, Alarm, Arrived, Availability, Cancel, Close, Decay, Discovery, Event, Excluded, Fail,
     HostEntry, Lagging, ListScope, Log, MessageClass, Probe, Probed, Recovered, Refuse, Repeat, Report,
@@ -188,7 +188,7 @@
         self.touched: dict[Lane[Message], None] = {}  # lanes that an event concerns, not looked at since
         self.fresh: list[Lane[Message]] = []  # of those, the ones that came to be in this turn
         self.open: Ranking[Lane[Message]] = Ranking()  # lanes that may send, by their most urgent message
-        self.owed: dict[int, dict[str, Message]] = {}  # by destination number, soonest deadline first
+        self.owed: dict[int, Owed[Message]] = {}  # by destination number: see Message
         self.suspects: dict[Lane[Message], None] = {}  # of those, the ones with a destination in trouble
         self.opening: Due[Lane[Message]] = Due()  # when closed ones open
         self.looks: Due[Lane[Message]] = Due()  # when to look at one again though nothing opens it
@@ -405,7 +405,7 @@
             self.end(m)
         else:
             if m.owed:
-                self.owed.setdefault(m.dest, {})[m.name] = m
+                self.owed.setdefault(m.dest, Owed()).add(m)
             self.enter(m)
 
     def owes_try(self, r: Recovered) -> bool:
@@ -416,16 +416,18 @@
         """It has been tried, or is over."""
         m.owed = False
         owed = self.owed.get(m.dest)
-        if owed is not None and owed.pop(m.name, None) is not None and not owed:
-            del self.owed[m.dest]
+        if owed is not None:
+            owed.discard(m)
+            if not owed:
+                del self.owed[m.dest]
 
     def pressing(self, lane: Lane[Message]) -> list[Message]:
         """What an earlier life left untried and has to go now, if all of it is to be tried in its time at the
         pace that its destination takes: fresher ones are worth more, and would always go first."""
-        owed = [m for m in self.owed.get(lane.number, {}).values()
-                if m.call is None and m.name not in lane.aside]
-        if not owed:
+        if lane.number not in self.owed:
             return []
+        owed = [m for m in self.owed[lane.number].first(LOOKED_AT)
+                if m.call is None and m.name not in lane.aside]
         pace = sum(self.rate(r.sent, SENT_SPAN) for r in self.routes.get(lane.number, ()))
         gap = round(SECOND / max(pace, SECOND / CUT_SPAN))
         found: list[Message] = []
--- a/starlingwick/hold.py
+++ b/starlingwick/hold.py
@@ -65,6 +65,28 @@
         return (entry[3] for entry in self._list.islice(0, place, reverse=True))
 
 
+class Owed(Generic[M]):
+    """Messages by deadline, whatever their entry into the hold was."""
+
+    __slots__ = ("_list",)
+
+    def __init__(self) -> None:
+        self._list = SortedList()
+
+    def __len__(self) -> int:
+        return len(self._list)
+
+    def add(self, m: M) -> None:
+        self._list.add((m.deadline, m.name, m))
+
+    def discard(self, m: M) -> None:
+        self._list.discard((m.deadline, m.name, m))
+
+    def first(self, most: int) -> list[M]:
+        """So many of them, soonest deadline first."""
+        return [entry[2] for entry in self._list.islice(0, most)]
+
+
 class Lane(Generic[M]):
     """What waits for one destination. Messages that may not go yet stand ``aside``, the others in queues."""
 
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -77,3 +77,14 @@
     assert not relay.pacer.messages["old"].owed and not relay.pacer.owed
     relay.turn(recovered("gone"), io.Withdrawn("gone"), after=MS)
     assert not relay.pacer.owed
+
+
+def test_the_soonest_to_expire_goes_first_in_whatever_order_they_were_found() -> None:
+    """One slot, half a second a call: there is just time for all, soonest deadline first."""
+    relay = Relay(entry("a"), slots=1)
+    relay.turn(*(recovered(f"old{n}", left=(20 - n) * S // 2 + S) for n in range(20)))
+    called: list[str] = []
+    for _ in range(20):
+        called += (out := [m.name for m in relay.pacer.messages.values() if m.call is not None])
+        relay.turn(*(relay.verdict(name, io.Status.OK) for name in out), after=500 * MS)
+    assert called == [f"old{n}" for n in reversed(range(20))]
