Other customers' settings: no ramp, a hold of one message, more than six tries

Need: settings at the edges of what the checks let pass, walked by 150 drawn customers (tests/test_customers.py) and by reading the constants.

Pacer.shed kept a sixteenth of the hold free, at least one place: of a hold of one that is all, so each message was refused in the turn that brought it ([] == ['m1']). store/index.py reserved for six attempts whatever mostTries says: with 200 a message took 15,360 bytes where 1,052 were reserved, so what is taken on could come to more than half of the disk.

Change: the lines named. What is reserved for six tries stays 800 bytes and the message's own.

--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -136,7 +136,8 @@
         self.settings = config.settings
         self.pacer = Pacer(config.settings, config.seed)
         self.journal = Store.open(config.state, config.journal_bytes, config.machine_durable,
-                                  None if inheritance is None else inheritance.claim, ahead)
+                                  None if inheritance is None else inheritance.claim, ahead,
+                                  config.settings.limits.most_tries)
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
         self.listed: dict[str, io.HostEntry] = {}  # by host
         self.gone: dict[str, None] = {}  # hosts that were listed, the latest last
--- a/garnetrelay/store/index.py
+++ b/garnetrelay/store/index.py
@@ -12,13 +12,14 @@
 from garnetrelay.store import format as fmt
 from garnetrelay.store.format import Entry, Kind, Record
 
-ATTEMPTS = 6  # of a message, at most
-FIXED = 800  # of all its records, what does not depend on the message: frames, times, names of buildings
+TRIES = 6  # of a message, where nobody says how many there may be
+FIXED = 416  # of all its records, what depends neither on the message nor on its attempts: frames and times
+EACH = 64  # the same for an attempt and its outcome, with the name of a building
 
 
-def reserve(ref: str, key: str | None, body_length: int) -> int:
-    """What a message may come to take in all: its base, attempts, outcomes, its end."""
-    return body_length + (2 * ATTEMPTS + 3) * len(ref) + 2 * len(key or "") + FIXED
+def reserve(ref: str, key: str | None, body_length: int, tries: int = TRIES) -> int:
+    """What a message may come to take in all (bytes): its base, so many attempts, their outcomes, its end."""
+    return body_length + (2 * tries + 3) * len(ref) + 2 * len(key or "") + FIXED + tries * EACH
 
 
 @dataclass(slots=True)
@@ -47,12 +48,18 @@
     """All entries and segments. ``reserved`` counts what live messages may come to take."""
 
     def __init__(self) -> None:
+        self.tries = TRIES  # attempts that the settings allow a message
         self.entries: dict[str, Entry] = {}
         self.segments: dict[int, Segment] = {}
         self.tombs: dict[str, Tomb] = {}
         self.reserved = 0
         self.live = 0  # bytes of all records that are still needed
 
+    def allow(self, tries: int) -> None:
+        """From now on a message may have so many attempts; those that are there as well."""
+        self.tries = tries
+        self.reserved = sum(reserve(e.ref, e.key, len(e.body), tries) for e in self.entries.values())
+
     # ---- records that have been written, or were read
 
     def base(self, entry: Entry, number: int, size: int) -> None:
@@ -62,13 +69,13 @@
             self._supersede(entry, old, tomb, number)
         entry.base, entry.spread = number, {}
         self.entries[entry.ref] = entry
-        self.reserved += reserve(entry.ref, entry.key, len(entry.body))
+        self.reserved += reserve(entry.ref, entry.key, len(entry.body), self.tries)
         self.more(entry, number, size)
 
     def _supersede(self, entry: Entry, old: Entry | None, tomb: Tomb | None, number: int) -> None:
         stale: set[int] = set()
         if old is not None:
-            self.reserved -= reserve(old.ref, old.key, len(old.body))
+            self.reserved -= reserve(old.ref, old.key, len(old.body), self.tries)
             self._unplace(old)
             stale = {*old.stale, old.base}
         if tomb is not None:
@@ -92,12 +99,12 @@
         entry = self.entries.pop(ref, None)
         if entry is not None and entry.base == number and not entry.stale and ref not in self.tombs:
             # Its one base goes with this very segment: nothing can bring it back.
-            self.reserved -= reserve(ref, entry.key, len(entry.body))
+            self.reserved -= reserve(ref, entry.key, len(entry.body), self.tries)
             self._unplace(entry)
             return
         bases: set[int] = set()
         if entry is not None:
-            self.reserved -= reserve(entry.ref, entry.key, len(entry.body))
+            self.reserved -= reserve(entry.ref, entry.key, len(entry.body), self.tries)
             self._unplace(entry)
             bases = {*entry.stale, entry.base}
         tomb = self.tombs.get(ref)
@@ -148,7 +155,7 @@
             entry = self.entries[ref]
             if entry.base == number:
                 del self.entries[ref]
-                self.reserved -= reserve(ref, entry.key, len(entry.body))
+                self.reserved -= reserve(ref, entry.key, len(entry.body), self.tries)
                 self._unplace(entry)
         for ref in list(segment.tombs):
             self._drop_tomb(ref, self.tombs[ref])
--- a/garnetrelay/store/store.py
+++ b/garnetrelay/store/store.py
@@ -21,7 +21,7 @@
 from garnetrelay.store.ahead import Ahead, catch_up
 from garnetrelay.store import format as fmt
 from garnetrelay.store.format import Entry, LaterVersion, Record
-from garnetrelay.store.index import Index, Segment, begin, reserve, settle
+from garnetrelay.store.index import TRIES, Index, Segment, begin, reserve, settle
 from garnetrelay.store.storage import Folder, Storage, blocks
 
 log = logging.getLogger(__name__)
@@ -71,7 +71,8 @@
 class Store:
     """Appends records, keeps the live entries, and makes room. One thread uses it."""
 
-    def __init__(self, storage: Storage, disk_bytes: int, machine: bool = False, ahead: Ahead | None = None) -> None:
+    def __init__(self, storage: Storage, disk_bytes: int, machine: bool = False, ahead: Ahead | None = None,
+                 tries: int = TRIES) -> None:
         self.storage = storage
         self.machine = machine  # on record is what outlasts the machine's power, not only this process
         self.wake: Callable[[], None] | None = None  # tells whoever syncs that something waits for it
@@ -100,19 +101,20 @@
         self._said = False  # that it is broken
         self._spoilt = False  # the active segment may end in half a record: nothing goes behind that
         self._load(ahead)
+        self.index.allow(tries)
 
     @classmethod
     def open(cls, folder: Path, disk_bytes: int, machine: bool = False, claim: int | None = None,
-             ahead: Ahead | None = None) -> Store:
+             ahead: Ahead | None = None, tries: int = TRIES) -> Store:
         """The store of a folder, claimed for this process unless a claim was handed to it. ``ahead``: what was read
-        of it before."""
+        of it before; ``tries``: attempts that a message may have."""
         door = Folder(folder)
         if claim is None:
             door.claim()
         else:
             door.adopt(claim)
         try:
-            return cls(door, disk_bytes, machine, ahead)
+            return cls(door, disk_bytes, machine, ahead, tries)
         except BaseException:
             door.release()
             raise
@@ -159,7 +161,8 @@
 
     def has_room(self, ref: str, key: str | None, body_length: int) -> bool:
         """Whether one more message fits, with all that may be written of it."""
-        return not self.broken and self.sizes.admits(self.index.reserved, reserve(ref, key, body_length))
+        wanted = reserve(ref, key, body_length, self.index.tries)
+        return not self.broken and self.sizes.admits(self.index.reserved, wanted)
 
     def taken(self, entry: Entry) -> None:
         """Note a message; it must not be taken on before a ``flush`` has put it on record."""
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -577,7 +577,7 @@
 
     def shed(self) -> None:
         """A full hold turns newcomers away unseen: keep room by refusing what earns least by its turn."""
-        most = self.settings.limits.most_held - max(1, self.settings.limits.most_held // 16)
+        most = max(1, self.settings.limits.most_held - max(1, self.settings.limits.most_held // 16))
         if self.held <= most:
             return
         anew = [lane for lane, _ in zip(self.unpriced, range(LOOKED_AT), strict=False)]
@@ -868,7 +868,7 @@
     def mark(self, times: deque[int], span: int) -> None:
         """Note an event for a rate over ``span``."""
         times.append(self.now)
-        while times[0] <= self.now - span:
+        while times and times[0] <= self.now - span:
             times.popleft()
 
     def turn(self, dest: Destination) -> int:
--- /dev/null
+++ b/tests/test_customers.py
@@ -0,0 +1,94 @@
+"""Settings at the edges of what is allowed: any customer's may be played, and none ends the relay."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from garnetrelay.store.format import Entry
+from garnetrelay.store.store import Store
+from starlingwick import interface as io
+from tests.helpers import MS, Relay, S, entry
+
+
+def extreme(draw: random.Random) -> dict[str, Any]:
+    """Settings drawn from the edges of what ``interface.py`` lets pass."""
+    classes = []
+    for _ in range(draw.choice([1, 2, 7])):
+        aim = draw.choice([1, MS, S, 20 * S])
+        classes.append(io.MessageClass(
+            aim, aim * draw.choice([1, 2, 10]), draw.choice([0.0, 1.0, 9.0]), draw.choice([0.0, 0.5, 1.0]),
+            draw.choice(list(io.Repeat)), draw.choice(list(io.Scope)), draw.choice([0, S]), draw.random() < 0.3))
+    return dict(
+        relays=draw.choice([1, 3, 8, 500]), slots=draw.choice([1, 2, 9]), tick=draw.choice([0, 5 * MS]),
+        discovery=draw.choice(list(io.Discovery)), listed_rates=draw.random() < 0.5, decay=draw.choice(list(io.Decay)),
+        classes=tuple(classes), kinds=(io.Kind(draw.random() < 0.5, draw.choice([1, 4])),),
+        zone_fees=draw.choice([(), (0.0, 1.0)]), tenant_rates=draw.choice([(), (0.0, 5.0)]),
+        rules=dict(answer_slack=draw.choice([0, S]), ask_every=draw.choice([0, S]), drain_grace=0,
+                   fall=draw.choice([1, S]), fall_multiple=draw.choice([0.01, 3.0]), ramp_time=draw.choice([0, 1, S]),
+                   start_capacity=draw.choice([0.001, 1.0]), turn_gap=draw.choice([0, S])),
+        limits=dict(cancel=draw.random() < 0.5, probes=draw.random() < 0.5, retry_after=draw.random() < 0.5,
+                    most_held=draw.choice([1, 2, 30]), most_tries=draw.choice([1, 2, 40]),
+                    max_retry_after=draw.choice([0, S]), connect_timeout=0, conn_idle=draw.choice([0, S])))
+
+
+@pytest.mark.parametrize("seed", range(150))
+def test_no_settings_that_pass_the_checks_end_the_relay(seed: int) -> None:
+    draw = random.Random(seed)
+    chosen = extreme(draw)
+    hosts = [entry(f"h{n}", dest=n % 2, zone=n % 2, rate=draw.choice([0.0, 0.01, 50.0])) for n in range(3)]
+    relay = Relay(*hosts, **chosen)
+    statuses = list(io.Status)
+    owed: set[str] = set()
+    for turn in range(120):
+        events: list[io.Event] = []
+        for m in list(relay.pacer.messages.values()):
+            if m.call is not None and draw.random() < 0.5:
+                status = draw.choice(statuses)
+                report = draw.choice([None, io.Report(0.0, 0.0), io.Report(1.0, 5.0)])
+                events.append(relay.verdict(m.name, status, draw.choice([0, S]), draw.choice([0, 100 * MS]), report))
+        for _ in range(draw.randrange(4)):
+            klass = draw.randrange(len(chosen["classes"]))
+            patience = draw.choice([1, chosen["classes"][klass].deadline])
+            events.append(relay.message(klass, draw.randrange(3), draw.choice([None, "k1", "k2"]), 0, patience))
+            owed.add(events[-1].call)  # type: ignore[union-attr]
+        if turn % 40 == 20:
+            events.append(io.Roster(io.ListScope.FAILED, ()))
+        if turn % 40 == 30:
+            changed = entry("h0", dest=0, state=draw.choice(list(io.Availability)))
+            events.append(io.Roster(io.ListScope.CHANGES, (changed,)))
+        relay.turn(*events, after=draw.choice([0, 10 * MS, S]))
+        owed -= {a.call for a in relay.actions if isinstance(a, io.Refuse | io.Fail)}
+    assert relay.pacer.held <= chosen["limits"]["most_held"] and relay.pacer.held <= len(owed)
+
+
+def test_a_hold_of_one_message_holds_it() -> None:
+    """Room kept for newcomers left none for the only one: each was refused in the turn that brought it."""
+    relay = Relay(entry("a"), limits=dict(most_held=1))
+    relay.turn(relay.message())
+    assert [send.call for send in relay.sends()] == ["m1"]
+
+
+def test_no_ramp_at_all_is_a_ramp_that_is_over() -> None:
+    relay = Relay(entry("a"), rules=dict(ramp_time=0))
+    relay.serve(2)
+    assert relay.pacer.held == 0
+
+
+def test_the_store_has_room_for_as_many_attempts_as_the_settings_allow(tmp_path: Path) -> None:
+    """A message is taken on only if all that it may come to take has room; that was reckoned for six attempts."""
+    tries = 200
+    store = Store.open(tmp_path, 200_000, tries=tries)
+    ref = "m" * 16
+    before = store.used
+    entry_ = Entry(ref, "fee", 1, "k", 9000, b"x" * 10)
+    store.taken(entry_)
+    for n in range(tries):
+        assert store.trying(ref, "archive-block", n)
+        store.outcome(ref, False)
+    assert store.flush()
+    assert store.used - before <= store.index.reserved + 512  # blocks are whole
+    store.close()
