The list is asked for while the old one still holds; a relay told to end as it starts ends

Causes, from the walk of the constants and of the start: with 200 relays the first asking was spread over 20 s (ASK_SHARE for each) and the one after a failure over 20 to 40 s, whatever the settings give for asking (10 s; four times that after a failure): a change counted as told up to 10 s before it was asked for. A listener that came to be after the drain had begun stayed open for good.

Change: Pacer.no_later bounds both gaps by rules.ask_every less the 2 s for which a call may wait; Server closes a listener that comes while it drains.

--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -427,6 +427,8 @@
         with self._server.sockets[0].dup() as listening:
             listening.listen(512)  # more may wait than are taken up at once
         name = self._server.sockets[0].getsockname()
+        if self.draining:  # it was told to before there was a listener
+            self._stop_once_empty(QUIET_LOOKS)
         return str(name[0]), int(name[1])
 
     def drain(self) -> None:
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -65,6 +65,7 @@
 UNUSED = 0.85  # this much left for seconds, and others leave their parts
 UNUSED_PART = 8.0  # what of its part a relay sends more for each whole of a limit beyond that
 ASK_SHARE = SECOND // 10  # of discovery's time, for each relay that may ask as well
+ASK_TIME = 2 * SECOND  # for which a call may wait at discovery: the protocol's figure
 ASK_SOON = SECOND  # at most, until a watch that broke is opened anew: what it misses counts as told soon
 BURST = 2  # calls that may catch up on an allowance
 BUDGET = 0.9  # of this relay's part of what a cold destination can take: the estimate of capacity is noisy
@@ -223,7 +224,7 @@
         if self.started is None:
             self.started = now
             if self.settings.discovery is Discovery.SUBSCRIBE:
-                spread = ASK_SHARE * self.settings.relays  # few are answered in a call's time anyway
+                spread = self.no_later(1, ASK_SHARE * self.settings.relays)  # few are answered at once anyway
                 self.ask_at = now + (round(self.random.uniform(0, spread)) if spread > SECOND else 0)
         for event in events:
             match event:
@@ -281,7 +282,13 @@
 
     def first_step(self) -> int:
         """The longest gap after one failure; few relays get no longer ones, as they are no crowd."""
-        return max(3 * SECOND // 2, 2 * ASK_SHARE * self.settings.relays)
+        return max(3 * SECOND // 2, self.no_later(4, 2 * ASK_SHARE * self.settings.relays))
+
+    def no_later(self, times: int, gap: int) -> int:
+        """A gap until discovery is asked, but so that its answer comes before the list that we have holds no
+        more: after so many times what the settings give for asking, four if the last call failed."""
+        within = self.settings.rules.ask_every
+        return min(gap, max(SECOND, times * within - ASK_TIME)) if within else gap
 
     def on_roster(self, event: Roster) -> None:
         if event.scope is ListScope.FAILED:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -21,6 +21,7 @@
 from garnetrelay.platform import notices
 from garnetrelay.rehearsal.http import Call
 from garnetrelay.rehearsal.scripted import PATIENCE, ScriptedHost
+from garnetrelay.relay import Relay
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
 from starlingwick import interface as io
@@ -262,6 +263,23 @@
     assert not relay.held
 
 
+async def test_a_relay_that_is_told_to_end_while_it_starts_does_not_listen_on(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    recover = Relay._recover
+
+    def told(relay: Relay) -> None:
+        field.relays.append(relay)
+        recover(relay)
+        relay.stop()
+        relay._drain()
+
+    monkeypatch.setattr(Relay, "_recover", told)
+    await Relay(field.config()).start()
+    (relay,) = field.relays
+    await until(lambda: not relay.server.listening)
+    await asyncio.wait_for(relay.finished.wait(), PATIENCE)
+
+
 # ---- calls
 
 async def test_a_host_that_moved_while_its_connection_came_up_gets_no_call_at_the_old_address(field: Field) -> None:
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -92,3 +92,16 @@
     assert store.flush()
     assert store.used - before <= store.index.reserved + 512  # blocks are whole
     store.close()
+
+
+@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize("within", [5 * S, 10 * S])
+def test_the_first_asking_among_many_comes_while_the_list_that_is_known_still_holds(within: int, seed: int) -> None:
+    """Spread over 20 s among 200 relays, it came up to 10 s after the list of the configuration had ceased to hold; after
+    a failure that is four times as long."""
+    relay = Relay(entry("a"), seed=seed, relays=200, discovery=io.Discovery.SUBSCRIBE, rules=dict(ask_every=within))
+    pacer = relay.pacer
+    assert pacer.ask_at - 1000 * S <= within - 2 * S
+    pacer.ask_at = relay.now
+    relay.turn(io.Roster(io.ListScope.FAILED, ()))
+    assert pacer.ask_at - relay.now <= 4 * within - 2 * S
