--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from benchmarks import fleet, fleet_cost, restarts, simulator, store, turns, upgrade
+from benchmarks import fleet, fleet_cost, restarts, simulator, store, turns, upgrade, watches
 from benchmarks.kit import carried
 from benchmarks.peers import Cost, measure
 
@@ -128,6 +128,9 @@
     eight = commands.add_parser("restarts", help=restarts.compare.__doc__)
     eight.add_argument("--seeds", type=int, default=20)
     eight.set_defaults(run=lambda chosen: restarts.compare(chosen.seeds))
+    nine = commands.add_parser("watches", help=watches.compare.__doc__)
+    nine.add_argument("--seeds", type=int, default=10)
+    nine.set_defaults(run=lambda chosen: watches.compare(chosen.seeds))
     seven = commands.add_parser("simulator", help=simulator.play.__doc__)
     seven.add_argument("kit", type=Path, help="the folder of the bench's kit")
     seven.add_argument("--site", default="gandhinagar-hub")
