A draining relay leaves unread what crosses its close, so that the client hands it in again

The protocol lets a client hand in once more what crossed a close unread; one that was read and not answered is lost.

Change: reading stops with our side's end, and the connection closes 0.25 s later; until then the client reads its last answer.

--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -27,6 +27,7 @@
 LINGER = 1.0  # seconds without a byte in which a client that is shut out may still read why
 LONGEST_LINGER = 5.0  # for one that goes on sending what nobody reads
 ACCEPTED_AT_ONCE = 16  # connections taken up before the loop looks at them: each is a descriptor already
+LAST_READ = 0.25  # seconds in which a client reads its last answer: it waits 0.4 for one at most
 QUIET_LOOKS, QUIET_PAUSE = 5, 0.01  # at a queue of connections, seconds apart, ahead of its end
 LAST_DATA = struct.Struct("=52xI")  # of TCP_INFO: milliseconds since the kernel took in the last data
 COMPLAINTS = 10  # log lines a second about what clients send
@@ -361,13 +362,17 @@
     def close_between_requests(self) -> None:
         """Close unless a message would be lost by it. What is unread is answered first. A draining relay's close comes
         right behind an answer, perhaps: a request that crosses it would make a reset of it, which takes back the answer.
-        So only our side ends, until the client has seen that; it hands in on another connection what crossed."""
+        So only our side ends, until the client has read that. What crossed stays unread, and the client hands it in on
+        another connection: one that was read and not answered would be lost."""
         if self.between_requests and self.transport is not None:
             self.closing = True
             self._stop_timer()
             self.server.busy(self)
             if self.server.draining:
-                self._linger()
+                self.transport.pause_reading()
+                if self.transport.can_write_eof():
+                    self.transport.write_eof()
+                self.timer = asyncio.get_running_loop().call_later(LAST_READ, self.transport.abort)
             else:
                 self.transport.close()
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -203,8 +203,12 @@
     monkeypatch.setattr(clients.Connection, "between_requests", property(crossed))
     relay.server.drain()
     await until(lambda: connection.closing)
-    for _ in range(5):
+    assert connection.transport is not None
+    ours = connection.transport.get_extra_info("socket")
+    await until(lambda: readable(ours))
+    for _ in range(20):
         await asyncio.sleep(0)
+    assert readable(ours)  # what crossed is not read: a request that was read is owed an answer
     await until(lambda: readable(client))
     answers = b""
     client.settimeout(PATIENCE)
@@ -215,7 +219,7 @@
     await until(lambda: not relay.server.connections)
 
 
-def readable(one: socket.socket) -> bool:
+def readable(one: Any) -> bool:
     poll = select.poll()
     poll.register(one.fileno(), select.POLLIN)
     return bool(poll.poll(0))
