The end of a relay answers what it has read, and the listener's close loses nobody

(1) Relay.stop set 'finished' at 3 s whatever had been read: a request whose turn had not come was never answered, and the rounds between the event and close() read on (Relay.stop, Server). (2) asyncio makes a transport of an accepted socket one round later and can't for a server that is closed by then (Server._attach): a connection taken up in the round of the listener's close was neither served nor closed (_stop_once_empty, stop_listening; a hand-over lost it too). (3) Discovery.heard stayed true when the watch broke: a destination that came meanwhile was answered -ERR, for good. (4) SIGHUP to a relay that has passed on opened a watch. (5) SIGHUP ahead of main() ended the process: a crash.

Tests, each seen to fail without its mend: 'm2' was asked behind the end; recv timed out on the leaked connection (TimeoutError, three tests); 'ERR unknown destination' in place of BUSY; a pending watch; 'the relay ended' at SIGHUP.

--- a/garnetrelay/__main__.py
+++ b/garnetrelay/__main__.py
@@ -65,6 +65,7 @@
     """The exit status."""
     early: list[int] = []  # SIGHUP ends a process that has not said what it does with it: say so first
     signal.signal(signal.SIGHUP, lambda number, frame: early.append(number))
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # whoever began us may have held it back until here
     level = os.environ.get("RELAY_LOG_LEVEL", "INFO").upper()
     logging.basicConfig(
         level=level if level in logging.getLevelNamesMapping() else "INFO",
--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -29,6 +29,7 @@
 ACCEPTED_AT_ONCE = 16  # connections taken up before the loop looks at them: each is a descriptor already
 LAST_READ = 0.25  # seconds in which a client reads its last answer: it waits 0.4 for one at most
 QUIET_LOOKS, QUIET_PAUSE = 5, 0.01  # at a queue of connections, seconds apart, ahead of its end
+ROUNDS = 3  # of the loop, from taking a connection up until it is made: a task's first step, then what that calls soon
 LAST_DATA = struct.Struct("=52xI")  # of TCP_INFO: milliseconds since the kernel took in the last data
 COMPLAINTS = 10  # log lines a second about what clients send
 HEADER_WORD = re.compile("[!-~]+")
@@ -153,6 +154,9 @@
             return
         admitted = self.server.admit()
         self.server.connections.add(self)
+        if self.server.ended:  # it was taken up just as the end came
+            self.end()
+            return
         if admitted is None:
             self.transport.abort()
         elif not admitted:
@@ -224,7 +228,7 @@
             self.transport.pause_reading()
 
     def resume_writing(self) -> None:
-        if self.transport is not None and not self.closing:
+        if self.transport is not None and not self.closing and not self.server.ended:
             self.transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
@@ -306,7 +310,9 @@
             self.heard_at = self.server.now()
             self.server.idle.pop(self, None)  # to the end: it has been idle for the shortest time
             self.server.idle[self] = None
-        if self.at_end and not self.replies and not self.closing and self.transport is not None:
+        if self.server.ended:
+            self.end()
+        elif self.at_end and not self.replies and not self.closing and self.transport is not None:
             self.closing = True
             self.server.busy(self)
             self.transport.close()
@@ -365,17 +371,31 @@
         So only our side ends, until the client has read that. What crossed stays unread, and the client hands it in on
         another connection: one that was read and not answered would be lost."""
         if self.between_requests and self.transport is not None:
-            self.closing = True
-            self._stop_timer()
-            self.server.busy(self)
             if self.server.draining:
-                self.transport.pause_reading()
-                if self.transport.can_write_eof():
-                    self.transport.write_eof()
-                self.timer = asyncio.get_running_loop().call_later(LAST_READ, self.transport.abort)
+                self._end_our_side(self.transport)
             else:
+                self.closing = True
+                self._stop_timer()
+                self.server.busy(self)
                 self.transport.close()
 
+    def _end_our_side(self, transport: asyncio.Transport) -> None:
+        self.closing = True
+        self._stop_timer()
+        self.server.busy(self)
+        transport.pause_reading()
+        if transport.can_write_eof():
+            transport.write_eof()
+        self.timer = asyncio.get_running_loop().call_later(LAST_READ, transport.abort)
+
+    def end(self) -> None:
+        """Read nothing more; once all is answered that was read, end our side, whatever lies unread."""
+        if self.closing or self.lost or self.transport is None:
+            return
+        self.transport.pause_reading()
+        if not self.replies:
+            self._end_our_side(self.transport)
+
 
 class Server:
     """Listens for clients and bounds their connections: ``room`` says how many more there may be now, and
@@ -390,11 +410,13 @@
         self.silent: dict[Connection, None] = {}  # the same, of those that have never asked
         self.lingering: dict[Connection, None] = {}  # told that they are shut out, longest first
         self.draining = False
+        self.ended = False  # nothing more is read
         self.on_closed: Callable[[], None] | None = None  # hears of a connection's end, and of the listener's
         self.now: Callable[[], float] = asyncio.get_running_loop().time
         self._complaints: deque[float] = deque(maxlen=COMPLAINTS)
         self._unsaid = 0
         self._server: asyncio.Server | None = None
+        self._taking_up: set[asyncio.Task[Any]] = set()
 
     async def start(self, host: str, port: int, shared: bool = False) -> tuple[str, int]:
         """Listen; the address that came of it. ``shared``: another process may listen there too."""
@@ -409,13 +431,22 @@
             lambda: Connection(self), sock=found, backlog=ACCEPTED_AT_ONCE)
         return self._listening()
 
-    def stop_listening(self) -> socket.socket:
-        """Take up no more connections; the listener, on which they go on coming."""
+    async def stop_listening(self) -> socket.socket:
+        """Take up no more connections; the listener, on which they go on coming. Those taken up are ``connections``."""
         assert self._server is not None
         found = socket.socket(fileno=os.dup(self._server.sockets[0].fileno()))
+        self._take_up_no_more()
+        for _ in range(ROUNDS):
+            await asyncio.sleep(0)
         self._server.close()
         return found
 
+    def _take_up_no_more(self) -> None:
+        """asyncio makes a connection of what was taken up in a later round, and can't once its server is closed: nobody
+        would answer it, nor close it."""
+        assert self._server is not None
+        asyncio.get_running_loop().remove_reader(self._server.sockets[0].fileno())
+
     def passing(self) -> list[Connection]:
         """Connections that can pass to another process. Others close once what is owed there is written."""
         for connection in list(self.connections):
@@ -443,6 +474,15 @@
         for connection in list(self.connections):
             connection.close_between_requests()
 
+    def end(self) -> None:
+        """The process ends in a moment: read nothing more, take no connection, and let what is answered be read."""
+        self.ended = True
+        if self.listening:
+            self._take_up_no_more()
+            self._close_in(ROUNDS)
+        for connection in list(self.connections):
+            connection.end()
+
     def _stop_once_empty(self, looks: int) -> None:
         """Those that wait in the listener's queue would be reset with it, and what they ask with them. ``looks``: so many
         more have to find none, as a client may know of its connection before the queue does."""
@@ -454,6 +494,27 @@
         if looks:
             asyncio.get_running_loop().call_later(QUIET_PAUSE, self._stop_once_empty, looks)
             return
+        self._take_up_no_more()
+        self._close_in(ROUNDS)
+
+    def _close_in(self, rounds: int) -> None:
+        """Close the listener so many rounds behind the last that came."""
+        if self._server is None or not self._server.sockets:
+            return
+        loop = asyncio.get_running_loop()
+        with self._server.sockets[0].dup() as listening:
+            while not self.ended:
+                try:
+                    found, _ = listening.accept()
+                except OSError:
+                    break
+                task = loop.create_task(loop.connect_accepted_socket(lambda: Connection(self), found))
+                self._taking_up.add(task)
+                task.add_done_callback(self._taking_up.discard)
+                rounds = ROUNDS
+        if rounds:
+            loop.call_soon(self._close_in, rounds - 1)
+            return
         self._server.close()
         if self.on_closed is not None:
             self.on_closed()
--- a/garnetrelay/membership/register.py
+++ b/garnetrelay/membership/register.py
@@ -128,7 +128,7 @@
         self.index = index
         self.on_news = on_news
         self.task: asyncio.Task[None] | None = None
-        self.heard = False  # a line has come in this life: the list is no old one
+        self.heard = False  # a line has come on the watch that is open: the list is no old one
         self.asked_again: int | None = None  # the version behind which something came that could not be read
 
     def subscribe(self) -> None:
@@ -144,7 +144,7 @@
     def move(self, address: Address) -> None:
         """Watch another address from now on. It may count its versions in a way of its own: asked for what
         came after one of the old address's, it might hold back the list. So it is asked for all."""
-        self.address, self.index = address, 0
+        self.address, self.index, self.heard = address, 0, False
         old, self.task = self.task, None
         if old is not None:
             old.cancel()
@@ -154,7 +154,7 @@
         error = None if task.cancelled() else task.exception()
         if self.task is not task:
             return  # a watch at an address that is left: its end says nothing of the present one
-        self.task = None
+        self.task, self.heard = None, False
         if task.cancelled():
             return
         if isinstance(error, OSError | TimeoutError | h11.RemoteProtocolError | ValueError):
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -51,6 +51,8 @@
 MOST_GONE = 4096  # hosts that have left the list and are still known by name
 NEAR_END = SECOND // 10  # before a message's time: an end that is due by the clock comes no earlier
 DRAIN_AFTER = 0.6  # seconds after SIGTERM: new connections come for up to 0.4 s
+LAST_TURN = SECOND // 4  # before our end: nothing is read from then on, and clients read what they are answered
+LAST_RECORD = SECOND // 2  # behind STOP_AFTER, for records that answers wait for: still ahead of SIGKILL
 
 
 @dataclass(slots=True, eq=False)
@@ -164,6 +166,7 @@
         self.syncing: Syncing | None = None
         self.serving = False
         self.stopping = False
+        self.time_is_up = False
         self.finished = asyncio.Event()
         # Clients and hosts share the descriptors: each may have what the other does not use of its own part.
         self.hosts = net.Hosts(config.settings, self._host_room, lambda: self.server.close_longest_idle(),
@@ -233,6 +236,8 @@
         """SIGHUP: go on with what can change in a running relay, the address of discovery. The list that we
         have stays in force until the new address brings its own."""
         self.counts.reloads_ok += 1
+        if self.closed:  # the relay has passed to a new process, which reads its own
+            return
         if self.fleet is not None:
             self.fleet.read_secrets()
         if config.discovery == self.config.discovery:
@@ -257,7 +262,23 @@
         self.post(io.Stopping(at))
         loop = asyncio.get_running_loop()
         loop.call_later(DRAIN_AFTER, self._drain)
-        loop.call_at(at / SECOND, self.finished.set)
+        loop.call_at((at - LAST_TURN) / SECOND, self._last_turn)
+        loop.call_at(at / SECOND, self._time_is_up)
+
+    def _last_turn(self) -> None:
+        """What has been read is answered, and nothing more is read: a request that we read and leave without an answer
+        is lost, one that lies unread its client hands in again."""
+        if not self.closed:
+            self.server.end()
+            self.turn()
+
+    def _time_is_up(self) -> None:
+        """The end, once all that was promised is on record."""
+        self.time_is_up = True
+        if self.unreleased and not self.closed:
+            asyncio.get_running_loop().call_later(LAST_RECORD / SECOND, self.finished.set)
+        else:
+            self.finished.set()
 
     def _drain(self) -> None:
         self.server.drain()
@@ -547,6 +568,8 @@
         self.unreleased -= 1
         if self.closed:
             return
+        if self.time_is_up and not self.unreleased:
+            self.finished.set()
         for end in ends:
             self.notices.tell(*end)
         self.notices.send()
--- a/garnetrelay/upgrade/give.py
+++ b/garnetrelay/upgrade/give.py
@@ -50,6 +50,7 @@
 def start_anew() -> None:
     """Begin this very process again, as it was begun: its descriptors close with it, the folder has the rest."""
     logging.shutdown()
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # until the new text says what it does with it
     os.execv(sys.executable, sys.orig_argv)
 
 
@@ -155,7 +156,7 @@
         """No call begins any more, and no connection is taken up: what is under way comes to where it can pass."""
         relay = self.relay
         relay.post(io.Stopping(time.monotonic_ns()))
-        listener = relay.server.stop_listening()
+        listener = await relay.server.stop_listening()
         end = time.monotonic() + QUIET_TIME
         await asyncio.sleep(0)
         while self._unquiet() and time.monotonic() < end or relay.syncing is not None and relay.syncing.running:
--- a/tests/fleet/processes.py
+++ b/tests/fleet/processes.py
@@ -146,6 +146,12 @@
                     return
                 await self.news.wait()
 
+    async def holds_alive(self, relay: Relay, name: str) -> None:
+        """Wait until a relay holds another for alive; asked again at each line that is logged."""
+        async with asyncio.timeout(PATIENCE), self.news:
+            while (await relay.members())[1][name].status != "alive":
+                await self.news.wait()
+
     async def until(self, holds: Callable[[], bool]) -> None:
         """Wait until something holds of what has been logged."""
         async with asyncio.timeout(PATIENCE), self.news:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import select
 import socket
@@ -18,9 +19,10 @@
 from garnetrelay.fronts.resp import server as clients
 from garnetrelay.membership import register
 from garnetrelay.membership.register import Lines, Unread
+from garnetrelay import relay as relay_module
 from garnetrelay.platform import notices
 from garnetrelay.rehearsal.http import Call
-from garnetrelay.rehearsal.scripted import PATIENCE, ScriptedHost
+from garnetrelay.rehearsal.scripted import PATIENCE, ScriptedHost, ScriptedPlatform
 from garnetrelay.relay import Relay
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
@@ -144,6 +146,34 @@
     assert await client.enqueue("m2", dest=4) == b"OK"
 
 
+async def test_a_destination_that_came_while_the_watch_is_broken_is_no_failure(field: Field) -> None:
+    """The list was fresh, and is old again since its watch ended: it may lack what its clients know already."""
+    client = await field.start()
+    watch = await field.platform.next_watch()
+    watch.line("")
+    await until(lambda: field.relays[0].discovery.heard)
+    assert str(await client.enqueue("m1", dest=4)).startswith("ERR unknown destination")
+    watch.call.break_off()
+    again = await field.platform.next_watch()  # opened, and nothing has come on it
+    assert await client.enqueue("m2", dest=4) == "BUSY"
+    again.line(listing(42, {**endpoint(field.host, "s-4"), "group": 4}))
+    await until(lambda: field.relays[0].discovery.index == 42)
+    assert await client.enqueue("m3", dest=4) == b"OK"
+
+
+async def test_a_new_configuration_opens_no_watch_for_a_relay_that_has_passed_on(field: Field) -> None:
+    """SIGHUP comes to a process whose relay is another's by now: what it asked for nobody would read."""
+    await field.start()
+    relay = field.relays[0]
+    await field.platform.next_watch()
+    relay.retire()
+    other = ScriptedPlatform()
+    await other.start()
+    relay.reconfigure(dataclasses.replace(relay.config, discovery=Address.parse(other.address)))
+    assert relay.discovery.task is None or relay.discovery.task.cancelling()
+    await other.stop()
+
+
 # ---- clients
 
 async def test_a_client_that_ends_its_sending_behind_a_request_still_hears_its_answer(field: Field) -> None:
@@ -183,6 +213,62 @@
     await until(lambda: not relay.server.connections and not relay.server.listening)
 
 
+async def test_a_connection_that_is_taken_up_in_the_round_that_closes_the_listener_is_served(field: Field) -> None:
+    """asyncio makes a transport of it one round later, and can't for a listener that is closed by then: the queue was
+    empty, and the connection was reset all the same, with its request."""
+    first = await field.start()  # held: dropped, it would close
+    relay = field.relays[0]
+    await until(lambda: len(relay.server.connections) == 1)
+    client = socket.create_connection(("127.0.0.1", field.port))
+    client.sendall(enqueue("m1"))
+    loop = asyncio.get_running_loop()
+    loop.call_at(loop.time(), relay.server._stop_once_empty, 1)  # a round reads sockets first, then come its timers
+    client.setblocking(False)
+    async with asyncio.timeout(PATIENCE):
+        assert await loop.sock_recv(client, 100) == b"+OK\r\n"
+    await until(lambda: not relay.server.listening)
+    client.close()
+    first.writer.close()
+
+
+async def test_a_connection_that_is_taken_up_in_the_round_of_the_last_turn_is_not_reset_with_its_listener(
+        field: Field) -> None:
+    first = await field.start()  # held: dropped, it would close
+    server = field.relays[0].server
+    await until(lambda: len(server.connections) == 1)
+    client = socket.create_connection(("127.0.0.1", field.port))
+    client.sendall(enqueue("m1"))
+    loop = asyncio.get_running_loop()
+    loop.call_at(loop.time(), server.end)
+    client.setblocking(False)
+    async with asyncio.timeout(PATIENCE):
+        assert await loop.sock_recv(client, 100) == b""
+    client.close()
+    first.writer.close()
+
+
+async def test_a_connection_that_is_taken_up_as_a_relay_passes_on_passes_too(field: Field) -> None:
+    first = await field.start()  # held: dropped, it would close
+    server = field.relays[0].server
+    await until(lambda: len(server.connections) == 1)
+    client = socket.create_connection(("127.0.0.1", field.port))
+    client.sendall(enqueue("m1")[:30])
+    loop = asyncio.get_running_loop()
+    passing: asyncio.Future[list[clients.Connection]] = loop.create_future()
+
+    async def give() -> None:
+        listener = await server.stop_listening()
+        listener.close()
+        passing.set_result(server.passing())
+
+    loop.call_at(loop.time(), lambda: giving.append(loop.create_task(give())))
+    giving: list[asyncio.Task[None]] = []
+    async with asyncio.timeout(PATIENCE):
+        assert len(await passing) == 2
+    client.close()
+    first.writer.close()
+
+
 async def test_a_request_that_crosses_a_draining_relays_close_does_not_take_the_answer_back(
         field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
     """The client has not read its answer yet, and sends on. Bytes unread at a close make a reset of it, which throws
@@ -267,6 +353,98 @@
     assert not relay.held
 
 
+async def test_a_request_that_is_read_as_the_time_of_a_stopping_relay_ends_is_answered_and_kept(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its turn has not come, and the 3 s are over: it was read, and the relay ended without a word of it."""
+    client = await field.start()
+    relay = field.relays[0]
+    monkeypatch.setattr(relay, "_turn_soon", lambda: None)  # no turn comes in time
+    client.writer.write(enqueue("m1"))
+    await until(lambda: bool(relay.newcomers))
+    monkeypatch.setattr(relay_module, "STOP_AFTER", 0)
+    relay.stop()
+    await asyncio.wait_for(relay.finished.wait(), PATIENCE)
+    relay.close()
+    assert await client.read() == b"OK"
+    kept = Store.open(field.state, 3_000_000)
+    assert "m1" in kept.entries
+    kept.close()
+
+
+async def test_what_comes_behind_a_stopping_relays_last_turn_stays_unread(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The end takes a few rounds of the loop. What they read was answered by nobody: unread, it is handed in again."""
+    client = await field.start()
+    relay = field.relays[0]
+    assert await client.enqueue("m1") == b"OK"
+    (connection,) = relay.server.connections
+    asked: list[str] = []
+    handler = relay.server.handler
+
+    def asking(request: clients.Request, reply: clients.Reply) -> None:
+        asked.append(request.ref)
+        handler(request, reply)
+
+    monkeypatch.setattr(relay.server, "handler", asking)
+    monkeypatch.setattr(relay_module, "STOP_AFTER", 0)
+    relay.stop()
+    await asyncio.wait_for(relay.finished.wait(), PATIENCE)
+    relay.close()
+    assert connection.transport is not None
+    ours = connection.transport.get_extra_info("socket")
+    client.writer.write(enqueue("m2"))
+    await until(lambda: bool(asked) or readable(ours))
+    for _ in range(20):
+        await asyncio.sleep(0)
+    assert not asked and readable(ours)
+    assert await client.read() is None  # it hears that nothing more is read here
+
+
+async def test_a_connection_that_is_taken_up_as_the_end_comes_is_not_read(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    first = await field.start()  # held: dropped, it would close
+    server = field.relays[0].server
+    await until(lambda: len(server.connections) == 1)
+    made = clients.Connection.connection_made
+
+    def late(one: clients.Connection, transport: asyncio.BaseTransport) -> None:
+        server.end()
+        made(one, transport)
+
+    monkeypatch.setattr(clients.Connection, "connection_made", late)
+    client = socket.create_connection(("127.0.0.1", field.port))
+    client.sendall(enqueue("m1"))
+    await until(lambda: len(server.connections) == 2)
+    await until(lambda: readable(client))
+    for _ in range(20):
+        await asyncio.sleep(0)
+    client.settimeout(PATIENCE)
+    assert client.recv(100) == b"" and not field.relays[0].held
+    client.close()
+    first.writer.close()
+
+
+async def test_an_answer_that_waits_for_its_record_is_written_before_the_end(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Where records outlast the machine's power an answer waits for a sync: the end waits with it."""
+    client = await field.start()
+    relay = field.relays[0]
+    later: list[Any] = []
+    monkeypatch.setattr(relay.journal, "on_record", later.append)
+    client.writer.write(enqueue("m1"))
+    await until(lambda: bool(later))
+    monkeypatch.setattr(relay_module, "STOP_AFTER", 0)
+    relay.stop()
+    for _ in range(20):
+        await asyncio.sleep(0)
+    assert not relay.finished.is_set()
+    monkeypatch.undo()
+    for each in later:
+        each(True)
+    await asyncio.wait_for(relay.finished.wait(), PATIENCE)
+    assert await client.read() == b"OK" and await client.read() is None
+
+
 async def test_a_relay_that_is_told_to_end_while_it_starts_does_not_listen_on(
         field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
     recover = Relay._recover
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 import time
+import tomllib
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -186,3 +187,26 @@
     async with asyncio.timeout(PATIENCE):
         _, told = await child.communicate()
     assert child.returncode == 2 and told.count(b"\n") == 1 and says.encode() in told
+
+
+async def test_a_new_configuration_that_comes_as_the_process_starts_is_read_and_ends_nothing(
+        field: Field, process: Process, tmp_path: Path) -> None:
+    """SIGHUP ends a process that has not said what it does with it, and an interpreter that starts has not. By the deploy
+    file's own command, held at the interpreter's first line."""
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    begun, begins = os.pipe()
+    waits, go_on = os.pipe()
+    (tmp_path / "sitecustomize.py").write_text(f"import os\nos.write({begins}, b'x')\nos.read({waits}, 1)\n")
+    process.child = await asyncio.create_subprocess_exec(
+        "/bin/sh", "-c", run.replace(".venv/bin/python", sys.executable), cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+        env={**os.environ, **field.environment(process.port), "PYTHONPATH": str(tmp_path)}, pass_fds=(begins, waits))
+    os.close(begins)
+    os.close(waits)
+    assert await asyncio.to_thread(os.read, begun, 1) == b"x"
+    process.child.send_signal(signal.SIGHUP)
+    os.write(go_on, b"x")
+    os.close(begun)
+    os.close(go_on)
+    await process.says(b"configuration read again")
+    await process.says(b"serves on")
+    assert await process.end(signal.SIGTERM) == 0
