--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -122,8 +122,8 @@
 
 
 def answering(call: Call) -> None:
-    """Each tenth message dies, and the next one, which may be repeated, finds the host well. So does a probe: a call that is
-    late on a busy machine makes the host suspect, and what may not be repeated waits for one."""
+    """Each tenth message dies, and the next one, which may be repeated, finds the host well. So does a probe: on a busy
+    machine a call is late and makes the host suspect, and what may not be repeated waits for one."""
     ref = call.headers.get("x-request-id", "")
     call.answer(500 if ref.partition("-")[0].endswith("0") else 200)
 
