A process told to end while it hands over ends; a request with no millisecond left is refused

Cause, found by walking hand-overs and clients: (1) SIGTERM between the hello and the freeze sets 'stopping'; where the new process then died with the relay in its hands, Giver._follow began this process anew from the folder, and nothing told that one to end.

Change: it ends, and the folder keeps the rest; d=0 is refused.

--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -101,13 +101,10 @@
     for name in ("c", "d", "dest"):
         if name not in values:
             raise Rejected(f"'{name}' is missing")
-    patience = _whole_number(values["d"], "d")
-    if not patience:
-        raise Rejected("'d' must be above 0")
     key = values.get("k")
     return Request(
         _header_word(_text(words[2], 200, "id"), "id"), values["c"], _whole_number(values["dest"], "dest"),
-        None if key is None else _header_word(key, "k"), patience, words[4])
+        None if key is None else _header_word(key, "k"), _whole_number(values["d"], "d"), words[4])
 
 
 def _text(word: bytes, most: int, what: str) -> str:
--- a/garnetrelay/upgrade/give.py
+++ b/garnetrelay/upgrade/give.py
@@ -282,6 +282,9 @@
                 except (ChannelError, ProcessLookupError):
                     pass
                 self.start_anew()
+            case p.Step.START_ANEW if self.relay.stopping:  # it was told to end while it handed over
+                log.error("upgrade: broken off, and this process was told to end: the folder keeps the rest")
+                self.relay.finished.set()
             case p.Step.START_ANEW:
                 log.error("upgrade: starting anew from the folder")
                 self.start_anew()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -26,6 +26,8 @@
 from garnetrelay.relay import Relay
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
+from garnetrelay.upgrade.channel import Door
+from garnetrelay.upgrade.protocol import VERSION, Hello
 from starlingwick import interface as io
 from tests.sockets import Field, endpoint, listing, until
 
@@ -193,6 +195,13 @@
     await until(lambda: not field.relays[0].held and not field.relays[0].server.connections)
 
 
+async def test_a_request_whose_last_millisecond_has_passed_on_the_way_is_refused_and_not_failed(field: Field) -> None:
+    """Its time is told in whole milliseconds: what is left of one is none. A failure would be for good."""
+    client = await field.start()
+    assert await client.enqueue("m1", d=0) == "BUSY"
+    assert not field.relays[0].held and field.relays[0].counts.refused["safe"] == 1
+
+
 # ---- shutdown
 
 async def test_connections_in_the_listeners_queue_are_served_before_it_closes(field: Field) -> None:
@@ -617,3 +626,35 @@
     relay.notices.send()
     await until(lambda: len(waits) == 3)
     assert waits == [notices.ANSWER_TIME, 2 * notices.ANSWER_TIME, 4 * notices.ANSWER_TIME]
+
+
+# ---- hand-overs
+
+@pytest.mark.parametrize("told", [False, True])
+async def test_a_process_that_is_told_to_end_while_it_hands_over_does_not_begin_anew(field: Field, told: bool) -> None:
+    """SIGTERM came while it made ready, and the new process died with the relay in its hands: begun anew from the folder,
+    it would serve on, with nothing that tells it to end."""
+    field.operators = True
+    await field.start()
+    relay = field.relays[0]
+    assert relay.giver is not None
+    begun: list[bool] = []
+    relay.giver.start_anew = lambda: begun.append(True)
+    quiet = relay.giver._quieten
+
+    async def quieten() -> socket.socket:
+        if told:
+            relay.stop()
+        return await quiet()
+
+    relay.giver._quieten = quieten  # type: ignore[method-assign]
+    door = Door(field.state)
+    channel = await asyncio.to_thread(door.call)
+    assert channel is not None
+    channel.send(Hello([VERSION]))
+    channel.close()  # it dies: what it is given comes to nobody
+    if told:
+        await asyncio.wait_for(relay.finished.wait(), PATIENCE)
+        assert not begun
+    else:
+        await until(lambda: bool(begun))
