The listener's close needs no descriptor to spare

Cause: the loop behind made a copy of the listener each round; where descriptors are short that raises, and the listener never closes (Server._close_in). Change: the descriptor itself.

--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -499,16 +499,19 @@
         if self._server is None or not self._server.sockets:
             return
         loop = asyncio.get_running_loop()
-        with self._server.sockets[0].dup() as listening:
+        listening = socket.socket(fileno=self._server.sockets[0].fileno())  # no copy: descriptors may be short
+        try:
+            listening.setblocking(False)
             while not self.ended:
-                try:
-                    found, _ = listening.accept()
-                except OSError:
-                    break
+                found, _ = listening.accept()
                 task = loop.create_task(loop.connect_accepted_socket(lambda: Connection(self), found))
                 self._taking_up.add(task)
                 task.add_done_callback(self._taking_up.discard)
                 rounds = ROUNDS
+        except OSError:
+            pass  # none waits
+        finally:
+            listening.detach()
         if rounds:
             loop.call_soon(self._close_in, rounds - 1)
             return
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -240,6 +240,23 @@
     first.writer.close()
 
 
+async def test_a_connection_that_comes_in_the_rounds_up_to_the_listeners_close_is_served(field: Field) -> None:
+    """What was taken up is waited for, and in that time another comes."""
+    first = await field.start()  # held: dropped, it would close
+    server = field.relays[0].server
+    await until(lambda: len(server.connections) == 1)
+    server._take_up_no_more()
+    client = socket.create_connection(("127.0.0.1", field.port))
+    client.sendall(enqueue("m1"))
+    server._close_in(clients.ROUNDS)
+    await until(lambda: not server.listening)
+    client.setblocking(False)
+    async with asyncio.timeout(PATIENCE):
+        assert await asyncio.get_running_loop().sock_recv(client, 100) == b"+OK\r\n"
+    client.close()
+    first.writer.close()
+
+
 async def test_a_connection_that_is_taken_up_in_the_round_of_the_last_turn_is_not_reset_with_its_listener(
         field: Field) -> None:
     first = await field.start()  # held: dropped, it would close
