--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -645,6 +645,26 @@
     assert waits == [notices.ANSWER_TIME, 2 * notices.ANSWER_TIME, 4 * notices.ANSWER_TIME]
 
 
+async def test_a_notice_that_the_platform_can_not_read_keeps_no_other_back(
+        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    await field.start()
+    relay = field.relays[0]
+    take = field.platform.take
+
+    def picky(call: Call) -> None:
+        if call.method == "POST" and b'"m2"' in call.body:
+            call.answer(400)
+        else:
+            take(call)
+
+    monkeypatch.setattr(field.platform, "handler", picky)
+    for n in range(1, 4):
+        relay.notices.tell(f"m{n}", "dead", 0)
+    relay.notices.send()
+    assert [(await field.platform.next_notice())["ref"] for _ in range(2)] == ["m1", "m3"]
+    await until(lambda: not relay.notices.queue)
+
+
 # ---- hand-overs
 
 @pytest.mark.parametrize("told", [False, True])
