Many relays rest longer at a limit that nothing tells them of, and less long again

Cause: Pacer.pause. A rest grows to CLIMB_EVERY (2 s) where no turn is known, whatever the number of relays: many that rest so little keep a limit used up by refused calls, see two refusals in a row over 2 s, and take it for an outage (on_refused). Ruled out: load of the relays (no 'lags'), errors (9), silent connections (0 resets). Change: among MANY relays a limit that nothing tells is taken for one call a ramp (settings), so rests grow to three of these, and halve with CLIMB_EVERY. Few relays, and limits that are told, decide as before.

--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -768,9 +768,14 @@
         from a told wait's end: all were told it) or with the limit all but spent; ends with half of it left,
         shrinks like a ceiling in between, halves with time. As many refusals as make a cut take it to three
         turns where turns are rare: refused calls may use up the limit too."""
-        rare = self.turn(dest) > CLIMB_EVERY
-        most = 3 * self.turn(dest) if rare else CLIMB_EVERY
-        dest.rest *= 0.5 ** ((self.now - dest.pause_at) / most)
+        turn, halves = self.turn(dest), 0
+        if not dest.listed and self.settings.relays >= MANY:
+            # A limit that is told nowhere, in many parts: a turn is taken for the time that the rules give a destination
+            # to come back to all that it takes. Nothing told ends a rest, so it goes as fast as ceilings climb.
+            turn, halves = self.settings.rules.ramp_time, CLIMB_EVERY
+        rare = turn > CLIMB_EVERY
+        most = 3 * turn if rare else CLIMB_EVERY
+        dest.rest *= 0.5 ** ((self.now - dest.pause_at) / (halves or most))
         if refused or rare and left is not None and left < SPENT:
             # None told: perhaps shut. Nothing at all left: refused calls use it up. Both rest longer at once.
             step = (most / REST) ** ((1 if left else 1.5) / CUT_AFTER)
