--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -222,6 +222,15 @@
     await until(lambda: not relay.server.connections and not relay.server.listening)
 
 
+def queued(server: clients.Server) -> None:
+    """Until a connection lies in the listener's queue: its client may know of it a moment sooner. No round of the loop
+    runs meanwhile, so it is not taken up yet."""
+    assert server._server is not None
+    end = time.monotonic() + PATIENCE
+    while not readable(server._server.sockets[0]):
+        assert time.monotonic() < end
+
+
 async def test_a_connection_that_is_taken_up_in_the_round_that_closes_the_listener_is_served(field: Field) -> None:
     """asyncio makes a transport of it one round later, and can't for a listener that is closed by then: the queue was
     empty, and the connection was reset all the same, with its request."""
@@ -230,6 +239,7 @@
     await until(lambda: len(relay.server.connections) == 1)
     client = socket.create_connection(("127.0.0.1", field.port))
     client.sendall(enqueue("m1"))
+    queued(relay.server)
     loop = asyncio.get_running_loop()
     loop.call_at(loop.time(), relay.server._stop_once_empty, 1)  # a round reads sockets first, then come its timers
     client.setblocking(False)
@@ -248,6 +258,7 @@
     server._take_up_no_more()
     client = socket.create_connection(("127.0.0.1", field.port))
     client.sendall(enqueue("m1"))
+    queued(server)
     server._close_in(clients.ROUNDS)
     await until(lambda: not server.listening)
     client.setblocking(False)
@@ -264,6 +275,7 @@
     await until(lambda: len(server.connections) == 1)
     client = socket.create_connection(("127.0.0.1", field.port))
     client.sendall(enqueue("m1"))
+    queued(server)
     loop = asyncio.get_running_loop()
     loop.call_at(loop.time(), server.end)
     client.setblocking(False)
@@ -279,6 +291,7 @@
     await until(lambda: len(server.connections) == 1)
     client = socket.create_connection(("127.0.0.1", field.port))
     client.sendall(enqueue("m1")[:30])
+    queued(server)
     loop = asyncio.get_running_loop()
     passing: asyncio.Future[list[clients.Connection]] = loop.create_future()
 
