--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -770,8 +770,9 @@
         turns where turns are rare: refused calls may use up the limit too."""
         turn, halves = self.turn(dest), 0
         if not dest.listed and self.settings.relays >= MANY:
-            # A limit that is told nowhere, in many parts: a turn is taken for the time that the rules give a destination
-            # to come back to all that it takes. Nothing told ends a rest, so it goes as fast as ceilings climb.
+            # A limit that is told nowhere, in many parts: a turn is taken for the time that the rules give
+            # a destination to come back to all that it takes. Nothing told ends a rest, so it goes as fast
+            # as ceilings climb.
             turn, halves = self.settings.rules.ramp_time, CLIMB_EVERY
         rare = turn > CLIMB_EVERY
         most = 3 * turn if rare else CLIMB_EVERY
