--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -19,12 +19,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+from starlingwick import interface
 from starlingwick.hold import NEVER, Due, Key, Lane, Owed, Queue, Ranking
-from starlingwick.interface import (
-    Action, Alarm, Arrived, Availability, Cancel, Close, Decay, Discovery, Event, Excluded, Fail,
-    HostEntry, Lagging, ListScope, Log, MessageClass, Probe, Probed, Recovered, Refuse, Repeat, Report,
-    Roster, Scope, Send, Settings, Status, Stopping, Subscribe, Verdict, Wake, Withdrawn,
-)
 
 SECOND = 1_000_000_000
 
@@ -70,8 +66,14 @@
 BURST = 2  # calls that may catch up on an allowance
 BUDGET = 0.9  # of this relay's part of what a cold destination can take: the estimate of capacity is noisy
 
-MAY_HAVE_RUN = (Status.ERROR, Status.SPOILT, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
-MAY_STILL_RUN = (Status.TIMEOUT, Status.RESET, Status.CANCELLED)
+MAY_HAVE_RUN = (
+    interface.Status.ERROR,
+    interface.Status.SPOILT,
+    interface.Status.TIMEOUT,
+    interface.Status.RESET,
+    interface.Status.CANCELLED,
+)
+MAY_STILL_RUN = (interface.Status.TIMEOUT, interface.Status.RESET, interface.Status.CANCELLED)
 
 
 @dataclass(slots=True, eq=False)
@@ -81,7 +83,7 @@
     name: str
     zone: int
     usable: bool = True
-    listed: Availability = Availability.RUNNING
+    listed: interface.Availability = interface.Availability.RUNNING
     calls: int = 0
     probing: bool = False
     last_sent: int = 0
@@ -150,7 +152,7 @@
     """A message held: its attempts, whether one may have run, and its times."""
 
     name: str
-    klass: MessageClass
+    klass: interface.MessageClass
     dest: int
     key: str | None
     worth: float
@@ -174,14 +176,14 @@
 class Pacer:
     """The decisions of one relay. Feed it events; carry out what it answers."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: interface.Settings, seed: int) -> None:
         self.settings = settings
         self.random = random.Random(seed)
         self.least_aim = min(c.aim for c in settings.classes)
         self.most_there = max(1, int(SLOT_SHARE * settings.slots))  # calls out at one destination
         self.now = 0
         self.started: int | None = None
-        self.actions: list[Action] = []
+        self.actions: list[interface.Action] = []
         self.messages: dict[str, Message] = {}
         self.waiting: dict[int, Lane[Message]] = {}  # by destination number: held, no attempt out
         self.held = 0
@@ -216,42 +218,42 @@
         self.alarm_at = NEVER
         self.wake_at = NEVER
 
-    def handle(self, now: int, events: Iterable[Event]) -> list[Action]:
+    def handle(self, now: int, events: Iterable[interface.Event]) -> list[interface.Action]:
         """Take in a batch of events, then plan; the actions take effect at ``now``."""
         self.now = now
         self.actions = []
         self.wake_at = NEVER
         if self.started is None:
             self.started = now
-            if self.settings.discovery is Discovery.SUBSCRIBE:
+            if self.settings.discovery is interface.Discovery.SUBSCRIBE:
                 spread = self.no_later(1, ASK_SHARE * self.settings.relays)  # few are answered at once anyway
                 self.ask_at = now + (round(self.random.uniform(0, spread)) if spread > SECOND else 0)
         for event in events:
             match event:
-                case Arrived():
+                case interface.Arrived():
                     self.on_arrived(event)
-                case Verdict():
+                case interface.Verdict():
                     self.on_verdict(event)
-                case Recovered():
+                case interface.Recovered():
                     self.on_recovered(event)
-                case Stopping():
+                case interface.Stopping():
                     self.stopping_at = event.at
                     self.touched.update(dict.fromkeys(self.waiting.values()))
-                case Lagging():
+                case interface.Lagging():
                     if (event.lag > MOST_LAG) != (self.lag > MOST_LAG):
                         says = "newcomers are refused" if event.lag > MOST_LAG else "it keeps up again"
                         self.log(f"loop lags by {event.lag / SECOND:.2f} s: {says}")
                     self.lag = event.lag
-                case Withdrawn():
+                case interface.Withdrawn():
                     if event.call in self.messages:
                         self.finish(self.messages[event.call])
-                case Roster():
+                case interface.Roster():
                     self.on_roster(event)
-                case Probed():
+                case interface.Probed():
                     self.on_probed(event)
-                case Excluded():
+                case interface.Excluded():
                     self.on_excluded(event)
-                case Alarm():  # a coarser clock may bring it a moment early: it is spent all the same
+                case interface.Alarm():  # a coarser clock may bring it a moment early: it is spent all the same
                     if event.token == self.alarm:
                         self.alarm_at = NEVER
         if self.alarm_at <= now:
@@ -265,7 +267,7 @@
         if self.wake_at < self.alarm_at:
             self.alarm_at = max(self.wake_at, now + 1)
             self.alarm += 1
-            self.actions.append(Wake(self.alarm_at - now, self.alarm))
+            self.actions.append(interface.Wake(self.alarm_at - now, self.alarm))
         return self.actions
 
     # ---- the list of hosts
@@ -275,7 +277,7 @@
         asked by all that were restarted together, and again at once by all whose call ran out, it works on
         calls that nobody waits for any more, and is never done."""
         if self.now >= self.ask_at and not self.subscribed:
-            self.actions.append(Subscribe())
+            self.actions.append(interface.Subscribe())
             self.ask_at = self.now + max(2 * SECOND, self.ask_step)
         if not self.subscribed:
             self.wake_at = min(self.wake_at, self.ask_at)
@@ -290,8 +292,8 @@
         within = self.settings.rules.ask_every
         return min(gap, max(SECOND, times * within - ASK_TIME)) if within else gap
 
-    def on_roster(self, event: Roster) -> None:
-        if event.scope is ListScope.FAILED:
+    def on_roster(self, event: interface.Roster) -> None:
+        if event.scope is interface.ListScope.FAILED:
             # One that worked fell silent or was closed: the list is old soon. One that was not taken up says
             # that discovery is down or has too many callers.
             worked, self.subscribed = self.subscribed, False
@@ -304,18 +306,18 @@
                 self.ask_step = min(2 * self.ask_step, max(self.first_step(), most))
             self.ask_at = self.now + round(gap)
             return
-        if event.scope is not ListScope.CACHED:
+        if event.scope is not interface.ListScope.CACHED:
             self.subscribed = True
             self.ask_step = self.first_step()
         for entry in event.entries:
             self.on_entry(entry)
-        if event.scope is not ListScope.CHANGES:
+        if event.scope is not interface.ListScope.CHANGES:
             named = {entry.host for entry in event.entries}
             for name in [name for name in self.hosts if name not in named]:
                 self.forget(name)
 
-    def on_entry(self, entry: HostEntry) -> None:
-        if entry.availability is Availability.DELETED:
+    def on_entry(self, entry: interface.HostEntry) -> None:
+        if entry.availability is interface.Availability.DELETED:
             self.forget(entry.host)
             return
         if entry.host not in self.hosts:
@@ -327,21 +329,21 @@
             routes[-1].hosts.append(self.hosts[entry.host][1])
         dest, host = self.hosts[entry.host]
         self.touch(dest.number)
-        host.usable = entry.availability is Availability.RUNNING and entry.host not in self.excluded
+        host.usable = entry.availability is interface.Availability.RUNNING and entry.host not in self.excluded
         host.listed = entry.availability
         if self.settings.listed_rates and not dest.listed and LEAST_LIMIT <= entry.rate <= MOST_LIMIT:
             dest.agreed = dest.listed = entry.rate
             if self.settings.relays >= MANY:  # which start together, and with nothing saved up
                 dest.spaced = self.now - round(self.random.random() * self.spacing(dest))
 
-    def on_excluded(self, event: Excluded) -> None:
+    def on_excluded(self, event: interface.Excluded) -> None:
         """By hand a host drains until the call that puts it back. It was restarted meanwhile and is cold: so
         is all that is paced with it, unless others there served on."""
         (self.excluded.add if event.out else self.excluded.discard)(event.host)
         if event.host not in self.hosts:
             return
         dest, host = self.hosts[event.host]
-        was, host.usable = host.usable, host.listed is Availability.RUNNING and not event.out
+        was, host.usable = host.usable, host.listed is interface.Availability.RUNNING and not event.out
         if host.usable and not was and not any(one.usable for one in dest.hosts if one is not host):
             self.size_up(dest, self.now)
             dest.ramp_from = self.now
@@ -374,17 +376,25 @@
         self.tenant_due[tenant] = due + gap if due <= self.now else due
         return due <= self.now
 
-    def on_arrived(self, event: Arrived) -> None:
+    def on_arrived(self, event: interface.Arrived) -> None:
         if not event.storable or self.lag > MOST_LAG:
             # What cannot be kept is not taken on, nor what cannot be kept up with: the promises come first.
-            self.actions.append(Refuse(event.call, 0 if not event.storable else self.hold_off(SECOND)))
+            self.actions.append(interface.Refuse(event.call, 0 if not event.storable else self.hold_off(SECOND)))
             return
         klass = self.settings.classes[event.klass]
         worth = klass.worth
         if not self.within_share(event.tenant):
             worth *= self.settings.over_share_worth
-        message = Message(event.call, klass, event.dest, event.key if klass.in_turn else None, worth,
-                          self.now, self.now + event.patience, (event.klass, worth))
+        message = Message(
+            event.call,
+            klass,
+            event.dest,
+            event.key if klass.in_turn else None,
+            worth,
+            self.now,
+            self.now + event.patience,
+            (event.klass, worth),
+        )
         self.messages[event.call] = message
         self.held += 1
         if message.key is not None:
@@ -393,11 +403,21 @@
         for route in self.routes.get(event.dest, ()):
             self.mark(route.arrived, SENT_SPAN)
 
-    def on_recovered(self, r: Recovered) -> None:
+    def on_recovered(self, r: interface.Recovered) -> None:
         """Take up again what an earlier life held: its attempts count on, and so does what may have run."""
         klass = self.settings.classes[r.klass]
-        m = Message(r.call, klass, r.dest, r.key if klass.in_turn else None, klass.worth, self.now,
-                    self.now + r.patience, (r.klass, klass.worth), attempts=r.attempts, owed=self.owes_try(r))
+        m = Message(
+            r.call,
+            klass,
+            r.dest,
+            r.key if klass.in_turn else None,
+            klass.worth,
+            self.now,
+            self.now + r.patience,
+            (r.klass, klass.worth),
+            attempts=r.attempts,
+            owed=self.owes_try(r),
+        )
         if r.ran_ago is not None:
             m.ran_at, m.ran_zone = self.now - r.ran_ago, r.ran_zone
         self.messages[r.call] = m
@@ -415,7 +435,7 @@
                 self.owed.setdefault(m.dest, Owed()).add(m)
             self.enter(m)
 
-    def owes_try(self, r: Recovered) -> bool:
+    def owes_try(self, r: interface.Recovered) -> bool:
         """Whether an earlier life took it on and never tried it."""
         return not r.attempts and r.ran_ago is None
 
@@ -433,8 +453,7 @@
         pace that its destination takes: fresher ones are worth more, and would always go first."""
         if lane.number not in self.owed:
             return []
-        owed = [m for m in self.owed[lane.number].first(LOOKED_AT)
-                if m.call is None and m.name not in lane.aside]
+        owed = [m for m in self.owed[lane.number].first(LOOKED_AT) if m.call is None and m.name not in lane.aside]
         pace = sum(self.rate(r.sent, SENT_SPAN) for r in self.routes.get(lane.number, ()))
         gap = round(SECOND / max(pace, SECOND / CUT_SPAN))
         found: list[Message] = []
@@ -482,8 +501,11 @@
 
     def is_spent(self, m: Message) -> bool:
         """Whether no further attempt is open to a message that has none out."""
-        return (m.attempts >= self.settings.limits.most_tries or not self.may_repeat(m, None)
-                or self.now >= m.deadline - 2 * self.settings.tick)
+        return (
+            m.attempts >= self.settings.limits.most_tries
+            or not self.may_repeat(m, None)
+            or self.now >= m.deadline - 2 * self.settings.tick
+        )
 
     def worth_at(self, m: Message, when: int) -> float:
         """What a message earns if it is delivered then."""
@@ -492,7 +514,7 @@
             return 0.0
         if late <= 0:
             return m.worth
-        if self.settings.decay is Decay.BY_HALF:
+        if self.settings.decay is interface.Decay.BY_HALF:
             halves: float = 0.5 ** (late / m.klass.aim)
             return m.worth * max(m.klass.late_worth, halves)
         return m.worth * (1 - (1 - m.klass.late_worth) * late / (m.deadline - m.aim_at))
@@ -501,9 +523,9 @@
         """Rule 2: a refusal promises that trying again is harmless."""
         if m.ran_at is None and m.call is None:
             return True
-        if m.klass.repeat is Repeat.KEYED:
-            return m.klass.key_scope is Scope.ALL
-        return m.klass.repeat is Repeat.SAFE
+        if m.klass.repeat is interface.Repeat.KEYED:
+            return m.klass.key_scope is interface.Scope.ALL
+        return m.klass.repeat is interface.Repeat.SAFE
 
     def may_shed(self, m: Message) -> bool:
         """Whether a message may make room for others: that of an earlier life has been promised a try."""
@@ -511,12 +533,15 @@
 
     def may_repeat(self, m: Message, host: Host | None) -> bool:
         """Rule 2: whether a message may be sent (to that host, or to any) after what may have run."""
-        if m.ran_at is None or m.klass.repeat is Repeat.SAFE:
+        if m.ran_at is None or m.klass.repeat is interface.Repeat.SAFE:
             return True
-        if m.klass.repeat is Repeat.UNSAFE or self.now >= m.ran_at + m.klass.repeat_window:
+        if m.klass.repeat is interface.Repeat.UNSAFE or self.now >= m.ran_at + m.klass.repeat_window:
             return False
-        return host is None or m.klass.key_scope is Scope.ALL or (
-            m.klass.key_scope is Scope.ZONE and host.zone == m.ran_zone)
+        return (
+            host is None
+            or m.klass.key_scope is interface.Scope.ALL
+            or (m.klass.key_scope is interface.Scope.ZONE and host.zone == m.ran_zone)
+        )
 
     def end(self, m: Message, opens: int = 0, ran: bool = False) -> None:
         """The one place where this relay ends a message: refused where that is legal, failed where not. At
@@ -525,7 +550,7 @@
             return
         hold_off = self.hold_off(opens - self.now)
         refuse = not ran and self.may_refuse(m)
-        self.actions.append(Refuse(m.name, hold_off) if refuse else Fail(m.name))
+        self.actions.append(interface.Refuse(m.name, hold_off) if refuse else interface.Fail(m.name))
         self.finish(m)
 
     def hold_off(self, time: int) -> int:
@@ -597,8 +622,7 @@
             if found is not None and self.cheapest.first() == (found[1], lane):  # still, by its present worth
                 self.end(found[0], turns[lane])
 
-    def price(self, lane: Lane[Message],
-              turns: dict[Lane[Message], int]) -> tuple[Message, Key] | None:
+    def price(self, lane: Lane[Message], turns: dict[Lane[Message], int]) -> tuple[Message, Key] | None:
         """Rank a lane for shedding: what earns least there by its turn, and its key. ``turns`` says when that
         is, so that it stays the same while one after the other is refused."""
         self.unpriced.pop(lane, None)
@@ -640,7 +664,7 @@
             return when
         if when <= m.aim_at:
             return NEVER
-        if self.settings.decay is Decay.BY_HALF and klass.late_worth:
+        if self.settings.decay is interface.Decay.BY_HALF and klass.late_worth:
             floor = klass.deadline - klass.aim - math.ceil(klass.aim * -math.log2(klass.late_worth))
             if when >= m.deadline - floor:
                 return when + floor
@@ -648,7 +672,7 @@
 
     # ---- outcomes
 
-    def on_verdict(self, v: Verdict) -> None:
+    def on_verdict(self, v: interface.Verdict) -> None:
         m = self.messages.get(v.call)
         if m is None or m.call is None or v.attempt != m.attempts - 1:
             return
@@ -665,7 +689,7 @@
             self.learn(call, v.status, v.cost, v.wait, v.report)
         if v.wait:  # rule 6; every outcome may tell a wait, also the others of one call
             call.dest.wait_until = max(call.dest.wait_until, self.now + v.wait)
-        if m.owed and v.status is not Status.ABANDONED:
+        if m.owed and v.status is not interface.Status.ABANDONED:
             self.settle_owed(m)
         if v.status in MAY_HAVE_RUN and m.ran_at is None:
             m.ran_at, m.ran_zone = call.sent_at, call.host.zone
@@ -676,16 +700,16 @@
                 del self.turn_rest[next(iter(self.turn_rest))]
         if v.finished or m.over:
             self.finish(m)
-        elif v.status is Status.OK:  # an answer behind the message's time: it ran, and its end is still owed
+        elif v.status is interface.Status.OK:  # an answer behind the message's time: it ran, and its end is still owed
             self.end(m, ran=True)
-        elif self.is_spent(m) or v.status is Status.MOOT and not v.no_slot:
+        elif self.is_spent(m) or v.status is interface.Status.MOOT and not v.no_slot:
             self.end(m)  # moot, but not for want of a slot: no further attempt would go out either
         else:  # back into the hold, on a timer that grows with its attempts
             pause = min(REST << min(m.attempts - 1, 8), m.klass.aim)
             m.not_before = self.now + round(pause * self.random.uniform(0.5, 1.0))
             self.enter(m)
 
-    def on_probed(self, event: Probed) -> None:
+    def on_probed(self, event: interface.Probed) -> None:
         if event.host in self.hosts:
             dest, host = self.hosts[event.host]
             host.probing = False
@@ -693,7 +717,7 @@
             call = Call(dest, host, self.now - event.cost, [])
             self.learn(call, event.status, 0, 0, event.report)
 
-    def learn(self, call: Call, status: Status, cost: int, wait: int, report: Report | None) -> None:
+    def learn(self, call: Call, status: interface.Status, cost: int, wait: int, report: interface.Report | None) -> None:
         """What one call's outcome says of its destination and host."""
         dest, host = call.dest, call.host
         left: float | None = None  # share of the limit, where one is reported
@@ -702,7 +726,7 @@
             weight = 1 - math.exp((dest.left_at - self.now) / CLIMB_EVERY)
             dest.left += weight * (min(left, 1.0) - dest.left)
             dest.left_at = self.now
-        if status is Status.OK:
+        if status is interface.Status.OK:
             dest.refused_from = None
             self.pause(dest, False, left)
             host.last_ok_sent = max(host.last_ok_sent, call.sent_at)
@@ -715,20 +739,25 @@
                 if self.late_after(dest) < late and dest.calls:
                     self.blame_at = 0  # its calls may be overdue sooner, or be so already
             self.judge(dest, host, True)
-        elif status is Status.CROWDED and dest.reports:
+        elif status is interface.Status.CROWDED and dest.reports:
             lately = host.most if self.now < host.most_until else NEVER
             host.most, host.most_until = max(1, min(lately, call.beside)), self.now + CROWD_REST
-        elif status in (Status.FULL, Status.CROWDED):
+        elif status in (interface.Status.FULL, interface.Status.CROWDED):
             self.on_refused(call, wait, left)
-        elif status is Status.SPOILT:  # no word on health, but an answer: those sent before are not overdue
+        elif status is interface.Status.SPOILT:  # no word on health, but an answer: those sent before are not overdue
             host.last_ok_sent = max(host.last_ok_sent, call.sent_at)
-        elif status in (Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED):
+        elif status in (
+            interface.Status.ERROR,
+            interface.Status.RESET,
+            interface.Status.TIMEOUT,
+            interface.Status.CONNECT_FAILED,
+        ):
             # A call sent after it has been answered: its connection failed, not the host.
-            alone = status in (Status.RESET, Status.TIMEOUT) and host.last_ok_sent > call.sent_at
+            alone = status in (interface.Status.RESET, interface.Status.TIMEOUT) and host.last_ok_sent > call.sent_at
             if not call.blamed and not alone:
-                self.judge(dest, host, False, RESET_WEIGHT if status is Status.RESET else BAD_WEIGHT)
+                self.judge(dest, host, False, RESET_WEIGHT if status is interface.Status.RESET else BAD_WEIGHT)
 
-    def is_plausible(self, dest: Destination, report: Report) -> bool:
+    def is_plausible(self, dest: Destination, report: interface.Report) -> bool:
         """Whether a report may be believed, till the next one: it is another's word, and may be anything."""
         low, high = dest.agreed / TRUST or LEAST_LIMIT, dest.agreed * TRUST or MOST_LIMIT
         return low <= report.limit <= high and report.left <= MOST_LEFT
@@ -840,10 +869,11 @@
         if not self.settings.limits.cancel:
             return
         for m in call.messages:
-            may = m.klass.repeat is Repeat.SAFE or (
-                m.klass.repeat is Repeat.KEYED and self.now < call.sent_at + m.klass.repeat_window)
+            may = m.klass.repeat is interface.Repeat.SAFE or (
+                m.klass.repeat is interface.Repeat.KEYED and self.now < call.sent_at + m.klass.repeat_window
+            )
             if m.call is call and may and m.attempts < self.settings.limits.most_tries and not m.over:
-                self.actions.append(Cancel(m.name, m.attempts - 1))
+                self.actions.append(interface.Cancel(m.name, m.attempts - 1))
 
     def late_after(self, dest: Destination) -> int:
         return round(LATE * dest.mean) or self.least_aim
@@ -968,7 +998,7 @@
             when = max(when, self.turn_rest.get(m.key, 0))
         if not self.may_repeat(m, host):
             return NEVER
-        if m.klass.repeat is Repeat.UNSAFE and dest.bad > SUSPECT and self.now < self.last_resort(m):
+        if m.klass.repeat is interface.Repeat.UNSAFE and dest.bad > SUSPECT and self.now < self.last_resort(m):
             return NEVER
         return when
 
@@ -999,7 +1029,7 @@
             return False
         return host.usable and now >= dest.wait_until
 
-    def slot_time(self, lane: Lane[Message], klass: MessageClass) -> float:
+    def slot_time(self, lane: Lane[Message], klass: interface.MessageClass) -> float:
         """How long a call there takes, by the quickest route."""
         means = [r.mean for r in self.routes.get(lane.number, ()) if r.mean]
         return min(means) if means else klass.aim / 4
@@ -1078,8 +1108,7 @@
         if opens >= NEVER:
             return []
         told = min(route.wait_until for route in self.routes[lane.number])
-        return [(m, opens) for m in lane.due_by(opens)
-                if self.may_refuse(m) and (not m.owed or told >= m.deadline)]
+        return [(m, opens) for m in lane.due_by(opens) if self.may_refuse(m) and (not m.owed or told >= m.deadline)]
 
     def close(self, lane: Lane[Message]) -> None:
         self.open.drop(lane)
@@ -1115,7 +1144,7 @@
         lost then, and where the aim has just passed, and falls to both sides of either."""
         end = len(queue)
         klass = next(iter(queue)).klass
-        if suspect and klass.repeat is Repeat.UNSAFE and self.settings.limits.probes:
+        if suspect and klass.repeat is interface.Repeat.UNSAFE and self.settings.limits.probes:
             end = queue.until(self.now + klass.aim)  # the others may not go: see last_resort
         if end <= max(LOOKED_AT // 4, most):
             return queue.between(0, end)
@@ -1215,7 +1244,7 @@
             one.attempts += 1
             call.open += 1
             self.leave(one)
-            self.actions.append(Send(one.name, host.name, self.give_up_at(one, dest)))
+            self.actions.append(interface.Send(one.name, host.name, self.give_up_at(one, dest)))
         self.touch(m.dest)
         return bool(lane)
 
@@ -1244,13 +1273,13 @@
         table, and are dropped unseen. All relays together hold one no longer than a single relay might."""
         for host in self.freed:
             if not host.calls and host.gap > self.settings.limits.conn_idle // self.settings.relays:
-                self.actions.append(Close(host.name))
+                self.actions.append(interface.Close(host.name))
         self.freed.clear()
 
     def give_up_at(self, m: Message, dest: Destination) -> int:
         """A time-out can only help what may be sent again."""
         last = m.deadline - self.early()
-        if m.klass.repeat is Repeat.UNSAFE:
+        if m.klass.repeat is interface.Repeat.UNSAFE:
             return last
         return min(last, self.now + max(2 * self.late_after(dest), m.klass.aim))
 
@@ -1258,16 +1287,15 @@
         """Where only messages that cannot be repeated wait on a suspect host, a probe tries first."""
         for lane in list(self.suspects):
             alike = [m for queue in lane.queues.values() for m in queue.between(0, 1)]
-            if not any(m.klass.repeat is Repeat.UNSAFE for m in (*alike, *lane.aside.values())):
+            if not any(m.klass.repeat is interface.Repeat.UNSAFE for m in (*alike, *lane.aside.values())):
                 continue
             for dest in self.routes.get(lane.number, ()):
                 for host in dest.hosts:
-                    if (dest.bad > SUSPECT and not host.probing and not host.calls
-                            and self.gate(dest, host) <= self.now):
+                    if dest.bad > SUSPECT and not host.probing and not host.calls and self.gate(dest, host) <= self.now:
                         host.probing = True
                         self.count_call(dest, host)
                         self.touch(dest.number)
-                        self.actions.append(Probe(host.name, self.now + PROBE_TIME))
+                        self.actions.append(interface.Probe(host.name, self.now + PROBE_TIME))
 
     def log(self, text: str) -> None:
-        self.actions.append(Log(text))
+        self.actions.append(interface.Log(text))
