--- a/.ci/answers.py
+++ b/.ci/answers.py
@@ -50,8 +50,12 @@
         path = Path(folder, "config.json")
         path.write_text(json.dumps(CONFIG))
         environment = {
-            **os.environ, "RELAY_NAME": "n0", "RELAY_CONFIG": str(path), "RELAY_STATE": folder,
-            "RELAY_LISTEN": f"127.0.0.1:{port}", "RELAY_DISCOVERY": f"127.0.0.1:{silent.getsockname()[1]}",
+            **os.environ,
+            "RELAY_NAME": "n0",
+            "RELAY_CONFIG": str(path),
+            "RELAY_STATE": folder,
+            "RELAY_LISTEN": f"127.0.0.1:{port}",
+            "RELAY_DISCOVERY": f"127.0.0.1:{silent.getsockname()[1]}",
         }
         relay = subprocess.Popen(["/bin/sh", "-c", sys.argv[1]], env=environment)
         try:
--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -30,15 +30,19 @@
     costs: dict[str, list[Cost]] = {"floor": [], "relay": []}
     for _ in range(options.rounds):
         for name, program in (("floor", FLOOR), ("relay", RELAY)):
-            costs[name].append(asyncio.run(measure(
-                program, options.messages, options.clients, options.dests, options.body)))
-    print(f"{options.messages} messages of {options.body} bytes, {options.clients} clients, {options.dests} "
-          f"destinations, best of {options.rounds}")
+            costs[name].append(
+                asyncio.run(measure(program, options.messages, options.clients, options.dests, options.body))
+            )
+    print(
+        f"{options.messages} messages of {options.body} bytes, {options.clients} clients, {options.dests} "
+        f"destinations, best of {options.rounds}"
+    )
     print(f"{'program':<10}{'CPU us a message':>18}{'messages/s':>12}{'MB':>8}{'times the floor':>18}")
     best = {name: min(found, key=lambda cost: cost.cpu) for name, found in costs.items()}
     for name, cost in best.items():
-        print(f"{name:<10}{cost.cpu:>18.1f}{cost.rate:>12.0f}{cost.memory:>8.1f}"
-              f"{cost.cpu / best['floor'].cpu:>18.2f}")
+        print(
+            f"{name:<10}{cost.cpu:>18.1f}{cost.rate:>12.0f}{cost.memory:>8.1f}" f"{cost.cpu / best['floor'].cpu:>18.2f}"
+        )
 
 
 def table(title: str, unit: str, measured: Callable[[int], float], sizes: list[int]) -> None:
@@ -56,20 +60,23 @@
     table("two turns of a message, others held for a shut destination", "us", turns.over_held, held)
     table("a turn with slots short, others held for an open destination", "us", turns.over_open, held)
     table("a turn that sheds, the hold full", "us", turns.over_full, held)
-    table("two turns of a message over destinations, a tenth shut", "us", turns.over_dests,
-          [26, 260, 2_600, 10_000])
+    table("two turns of a message over destinations, a tenth shut", "us", turns.over_dests, [26, 260, 2_600, 10_000])
     table("the longest turn as a shut destination opens", "ms", turns.burst, [100, 5_000, 50_000])
     table("the turn in which deadlines passed together", "ms", turns.together, [1_000, 10_000, 50_000])
 
 
 def kit(options: argparse.Namespace) -> None:
     """What the rehearsal kit carries on one core: clients, stand-ins, checker and recording against a bare relay."""
-    print(f"{'offered/s':>10}{'carried/s':>11}{'CPU us a message':>18}{'core':>7}{'hand-ins late, p99 ms':>23}"
-          f"{'worst':>8}{'verdicts':>10}")
+    print(
+        f"{'offered/s':>10}{'carried/s':>11}{'CPU us a message':>18}{'core':>7}{'hand-ins late, p99 ms':>23}"
+        f"{'worst':>8}{'verdicts':>10}"
+    )
     for rate in options.rates:
         found = carried(rate, options.seconds)
-        print(f"{rate:>10.0f}{found.rate:>11.0f}{found.cpu:>18.1f}{found.share:>7.2f}{found.late_99:>23.1f}"
-              f"{found.late_most:>8.1f}{found.verdicts:>10}")
+        print(
+            f"{rate:>10.0f}{found.rate:>11.0f}{found.cpu:>18.1f}{found.share:>7.2f}{found.late_99:>23.1f}"
+            f"{found.late_most:>8.1f}{found.verdicts:>10}"
+        )
 
 
 def main() -> None:
@@ -116,8 +123,9 @@
     part.add_argument("--first", type=int, default=0)
     part.add_argument("--kinds", nargs="*", default=[])
     part.add_argument("--keep", type=Path, help="a folder for schedules that fail")
-    part.set_defaults(run=lambda chosen: fleet.cuts(
-        chosen.members, chosen.seeds, chosen.first, chosen.kinds, chosen.keep))
+    part.set_defaults(
+        run=lambda chosen: fleet.cuts(chosen.members, chosen.seeds, chosen.first, chosen.kinds, chosen.keep)
+    )
     part = parts.add_parser("hostile", help=fleet.refusing.__doc__)
     part.add_argument("--frames", type=int, default=1_000_000)
     part.set_defaults(run=lambda chosen: fleet.refusing(chosen.frames))
@@ -140,8 +148,20 @@
     seven.add_argument("--stock", default="", help="other days: eight hexadecimal digits")
     seven.add_argument("--full", action="store_true")
     seven.add_argument("--why", required=True, help="one plain sentence")
-    seven.set_defaults(run=lambda chosen: sys.exit(simulator.play(
-        chosen.kit, chosen.site, chosen.relays, chosen.peers, chosen.price, chosen.stock, not chosen.full, chosen.why)))
+    seven.set_defaults(
+        run=lambda chosen: sys.exit(
+            simulator.play(
+                chosen.kit,
+                chosen.site,
+                chosen.relays,
+                chosen.peers,
+                chosen.price,
+                chosen.stock,
+                not chosen.full,
+                chosen.why,
+            )
+        )
+    )
     options = parser.parse_args()
     print(machine())
     options.run(options)
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -61,8 +61,10 @@
         at, seen = world.now, Detected(0, 0, 0)
 
         def held(victim: str = victim) -> list[Status]:
-            return [Status.FAILED if member is None else member.claim.status for member in (
-                node.members.table.get(victim) for node in world.live() if node.members is not None)]
+            return [
+                Status.FAILED if member is None else member.claim.status
+                for member in (node.members.table.get(victim) for node in world.live() if node.members is not None)
+            ]
 
         def known(at: int = at, seen: Detected = seen, held: Callable[[], list[Status]] = held) -> bool:
             statuses = held()
@@ -85,21 +87,28 @@
 def detection(sizes: list[int], seeds: int) -> None:
     """Detection time against the paper's expectation."""
     settings = Settings()
-    print("detection of a kill, in periods; suspicion after the paper (Das and others, 3.1): 1 / (1 - (1 - 1/n)^(n-1)), "
-          "and half a period until the next round, one for the probe")
-    print(f"{'members':>8}{'kills':>7}{'first suspicion':>17}{'expected':>10}{'judged':>9}{'least':>7}{'longest':>9}"
-          f"{'all know':>10}{'p95':>7}")
+    print(
+        "detection of a kill, in periods; suspicion after the paper (Das and others, 3.1): 1 / (1 - (1 - 1/n)^(n-1)), "
+        "and half a period until the next round, one for the probe"
+    )
+    print(
+        f"{'members':>8}{'kills':>7}{'first suspicion':>17}{'expected':>10}{'judged':>9}{'least':>7}{'longest':>9}"
+        f"{'all know':>10}{'p95':>7}"
+    )
     with ProcessPoolExecutor(WORKERS) as pool:
         for size in sizes:
             jobs = [(size, seed, 0.0) for seed in range(max(1, seeds if size <= 40 else seeds // 10))]
             found = [each for some in pool.map(detect, jobs) for each in some]
             expected = 1 / (1 - (1 - 1 / (size - 1)) ** (size - 1)) + 0.5 if size > 2 else 1.5
             known = sorted(each.known for each in found)
-            print(f"{size:>8}{len(found):>7}{statistics.mean(each.suspected for each in found):>17.2f}{expected:>10.2f}"
-                  f"{statistics.mean(each.judged for each in found):>9.2f}"
-                  f"{settings.least_suspicion(size) / settings.probe_every:>7.1f}"
-                  f"{settings.longest_suspicion(size) / settings.probe_every:>9.1f}"
-                  f"{statistics.mean(known):>10.2f}{known[int((len(known) - 1) * 0.95)]:>7.2f}", flush=True)
+            print(
+                f"{size:>8}{len(found):>7}{statistics.mean(each.suspected for each in found):>17.2f}{expected:>10.2f}"
+                f"{statistics.mean(each.judged for each in found):>9.2f}"
+                f"{settings.least_suspicion(size) / settings.probe_every:>7.1f}"
+                f"{settings.longest_suspicion(size) / settings.probe_every:>9.1f}"
+                f"{statistics.mean(known):>10.2f}{known[int((len(known) - 1) * 0.95)]:>7.2f}",
+                flush=True,
+            )
 
 
 def mistaken(job: tuple[int, int, str, bool, int]) -> tuple[int, int]:
@@ -143,8 +152,13 @@
     world.run(world.now + span * SECOND)
     frames = sum(node.sent_frames for node in world.nodes.values()) - frames
     sent = sum(node.sent_bytes for node in world.nodes.values()) - sent
-    ages = [age / 1e9 for node in world.live() if node.members is not None for name in node.members.table.members
-            if (age := node.members.age(name, world.now)) is not None]
+    ages = [
+        age / 1e9
+        for node in world.live()
+        if node.members is not None
+        for name in node.members.table.members
+        if (age := node.members.age(name, world.now)) is not None
+    ]
     return size, frames / size / span, sent / size / span, statistics.mean(ages), max(ages)
 
 
@@ -153,8 +167,11 @@
     print(f"{'members':>8}{'frames/s':>10}{'bytes/s':>10}{'word age, mean s':>18}{'greatest':>10}{'bound':>8}")
     with ProcessPoolExecutor(WORKERS) as pool:
         for size, frames, sent, mean, most in pool.map(load_of, sizes):
-            print(f"{size:>8}{frames:>10.2f}{sent:>10.0f}{mean:>18.1f}{most:>10.1f}"
-                  f"{Settings().word_bound(size) / 1e9:>8.1f}", flush=True)
+            print(
+                f"{size:>8}{frames:>10.2f}{sent:>10.0f}{mean:>18.1f}{most:>10.1f}"
+                f"{Settings().word_bound(size) / 1e9:>8.1f}",
+                flush=True,
+            )
 
 
 def _played(job: tuple[str, int, int]) -> tuple[Schedule, Outcome]:
@@ -166,8 +183,10 @@
     """Views that meet again after every kind of fault; schedules that fail are kept."""
     chosen = list(kinds) or list(KINDS)
     print(f"{members} members, seeds {first} to {first + seeds - 1}; times in s after the last event")
-    print(f"{'kind':<26}{'plays':>7}{'failed':>8}{'all know':>10}{'one view':>10}{'p99':>8}{'most':>8}{'judged':>8}"
-          f"{'while there':>13}")
+    print(
+        f"{'kind':<26}{'plays':>7}{'failed':>8}{'all know':>10}{'one view':>10}{'p99':>8}{'most':>8}{'judged':>8}"
+        f"{'while there':>13}"
+    )
     found: defaultdict[str, list[Outcome]] = defaultdict(list)
     with ProcessPoolExecutor(WORKERS) as pool:
         jobs = [(kind, seed, members) for kind in chosen for seed in range(first, first + seeds)]
@@ -183,9 +202,11 @@
 def _row(kind: str, outcomes: list[Outcome]) -> str:
     views = sorted(outcome.one_view_ms / 1000 for outcome in outcomes if outcome.one_view_ms is not None) or [math.nan]
     known = sorted(outcome.all_know_ms / 1000 for outcome in outcomes if outcome.all_know_ms is not None) or [math.nan]
-    return (f"{kind:<26}{len(outcomes):>7}{sum(outcome.failed for outcome in outcomes):>8}{known[len(known) // 2]:>10.2f}"
-            f"{views[len(views) // 2]:>10.2f}{views[int(len(views) * 0.99)]:>8.2f}{views[-1]:>8.2f}"
-            f"{sum(outcome.judged for outcome in outcomes):>8}{sum(outcome.judged_alive for outcome in outcomes):>13}")
+    return (
+        f"{kind:<26}{len(outcomes):>7}{sum(outcome.failed for outcome in outcomes):>8}{known[len(known) // 2]:>10.2f}"
+        f"{views[len(views) // 2]:>10.2f}{views[int(len(views) * 0.99)]:>8.2f}{views[-1]:>8.2f}"
+        f"{sum(outcome.judged for outcome in outcomes):>8}{sum(outcome.judged_alive for outcome in outcomes):>13}"
+    )
 
 
 def _listened(size: int, seed: int, most: int) -> tuple[World, Members, list[bytes]]:
@@ -195,6 +216,7 @@
     def hear(node: Node, data: bytes) -> None:
         if node.name == "n1" and len(heard) < most:
             heard.append(data)
+
     world = gathered(size, Settings(), seed)
     world.heard = hear
     world.run(world.now + 30 * SECOND)
@@ -229,9 +251,11 @@
             changes += state() != before
     changes += state() != before
     told = members.figures.refused - earlier
-    print(f"{number} frames, no exception, {changes} changes of state\nrefused by the codec: {causes.total()} ("
-          f"{', '.join(f'{cause} {count}' for cause, count in causes.most_common())})\nby the member: {told.total()} ("
-          f"{', '.join(f'{cause} {count}' for cause, count in told.most_common())})")
+    print(
+        f"{number} frames, no exception, {changes} changes of state\nrefused by the codec: {causes.total()} ("
+        f"{', '.join(f'{cause} {count}' for cause, count in causes.most_common())})\nby the member: {told.total()} ("
+        f"{', '.join(f'{cause} {count}' for cause, count in told.most_common())})"
+    )
     taking = _taking(world, members)
     print(f"taking and answering a member's question: {taking:.1f} us\n{'kind':<26}{'us':>8}{'of that':>9}")
     for kind in sorted(took, key=lambda kind: took[kind] / counts[kind]):
@@ -243,8 +267,18 @@
     """What a question of a member costs that is taken and answered (microseconds)."""
     other = world.nodes["n2"].members
     assert other is not None
-    frames = [world.codec.encode(fr.Ping(sender=other.own.claim, sequence=other.sequence + 1000 + number, number=number,
-                                         summary=fr.Summary(other.view, other.count)), 2) for number in range(5000)]
+    frames = [
+        world.codec.encode(
+            fr.Ping(
+                sender=other.own.claim,
+                sequence=other.sequence + 1000 + number,
+                number=number,
+                summary=fr.Summary(other.view, other.count),
+            ),
+            2,
+        )
+        for number in range(5000)
+    ]
     began = time.perf_counter_ns()
     for data in frames:
         for effect in members.receive(world.now, world.codec.decode(data), other.own.claim.place):
--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -77,16 +77,22 @@
     for place in crowd.places:
         state = crowd.folder / place.host
         state.mkdir()
-        fleets.append(Fleet(FleetConfig(place, None, crowd.seeds, crowd.folder / "secret", Settings()),
-                            f"n{place.host}", state, False))
+        fleets.append(
+            Fleet(
+                FleetConfig(place, None, crowd.seeds, crowd.folder / "secret", Settings()), f"n{place.host}", state, False
+            )
+        )
     await asyncio.sleep(crowd.begin - time.monotonic())
     await asyncio.gather(*(fleet.start() for fleet in fleets))
     after, view = math.nan, 0
     try:
         while not (crowd.folder / END).exists():
             views = {fleet.members.view for fleet in fleets if fleet.members is not None}
-            if math.isnan(after) and len(views) == 1 and all(
-                    fleet.members is not None and fleet.members.count == crowd.size for fleet in fleets):
+            if (
+                math.isnan(after)
+                and len(views) == 1
+                and all(fleet.members is not None and fleet.members.count == crowd.size for fleet in fleets)
+            ):
                 after, view = time.monotonic() - crowd.begin, views.pop()
             await asyncio.sleep(0.1)
     finally:
@@ -109,16 +115,32 @@
         port = int(free.getsockname()[1])
     (folder / "options.toml").write_text(
         f'[fleet]\nlisten = "{place}"\nseeds = {json.dumps([str(seed) for seed in seeds])}\n'
-        'secret_file = "../secret"\n' if on else "")
+        'secret_file = "../secret"\n'
+        if on
+        else ""
+    )
     limits = {"mostHeld": 1000, "mostTries": 6, "connectTimeout": 10**9, "connIdle": 10**10, "probes": True}
-    (folder / "config.json").write_text(json.dumps({
-        "seed": "1", "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 3},
-        "known": {"index": 1, "snapshot": True, "endpoints": []},
-        "settings": {**SETTINGS, "familyInfo": {"callsOut": 128}, "limits": limits}}))
+    (folder / "config.json").write_text(
+        json.dumps(
+            {
+                "seed": "1",
+                "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+                "known": {"index": 1, "snapshot": True, "endpoints": []},
+                "settings": {**SETTINGS, "familyInfo": {"callsOut": 128}, "limits": limits},
+            }
+        )
+    )
     environment = {
-        **os.environ, "RELAY_NAME": "measured", "RELAY_STATE": str(folder), "RELAY_LOG_LEVEL": "WARNING",
-        "RELAY_CONFIG": str(folder / "config.json"), "RELAY_LISTEN": "127.0.0.1:0", "RELAY_DISCOVERY": "127.0.0.1:9",
-        "RELAY_OPS": f"127.0.0.1:{port}", "RELAY_OPTIONS": str(folder / "options.toml")}
+        **os.environ,
+        "RELAY_NAME": "measured",
+        "RELAY_STATE": str(folder),
+        "RELAY_LOG_LEVEL": "WARNING",
+        "RELAY_CONFIG": str(folder / "config.json"),
+        "RELAY_LISTEN": "127.0.0.1:0",
+        "RELAY_DISCOVERY": "127.0.0.1:9",
+        "RELAY_OPS": f"127.0.0.1:{port}",
+        "RELAY_OPTIONS": str(folder / "options.toml"),
+    }
     return subprocess.Popen([sys.executable, "-m", "garnetrelay"], env=environment, stderr=subprocess.DEVNULL), port
 
 
@@ -139,8 +161,10 @@
         folder = Path(made)
         (folder / "secret").write_text("a secret of the benchmarks\n")
         begin = time.monotonic() + PREPARED
-        crowds = [pool.submit(gather, Crowd(places[:-1][number::HELPERS], seeds, folder, begin, size))
-                  for number in range(HELPERS)]
+        crowds = [
+            pool.submit(gather, Crowd(places[:-1][number::HELPERS], seeds, folder, begin, size))
+            for number in range(HELPERS)
+        ]
         time.sleep(PREPARED)
         on, port = relay(folder / "on", mine, seeds, True)
         off, _ = relay(folder / "off", mine, seeds, False)
@@ -164,8 +188,10 @@
                 child.wait()
         told = [crowd.result() for crowd in crowds]
     views = {gathered.view for gathered in told}
-    print(f"all hold one view {max(gathered.after for gathered in told):.1f} s after the beginning"
-          f"{'' if len(views) == 1 else ', BUT NOT THE SAME'}; the relay is settled after {settled:.1f} s")
+    print(
+        f"all hold one view {max(gathered.after for gathered in told):.1f} s after the beginning"
+        f"{'' if len(views) == 1 else ', BUT NOT THE SAME'}; the relay is settled after {settled:.1f} s"
+    )
     print(f"{'the relay':<12}{'% of a core':>13}{'MB':>8}")
     for name, part, memory in zip(("in a fleet", "alone"), used, held, strict=True):
         print(f"{name:<12}{100 * part:>13.2f}{memory:>8.2f}")
--- a/benchmarks/floor.py
+++ b/benchmarks/floor.py
@@ -53,8 +53,11 @@
                 self.transport.write(b"+PONG\r\n")
                 continue
             self.transport.write(b"+OK\r\n")
-            request = (b"POST /hook HTTP/1.1\r\nHost: sink\r\nX-Request-ID: %s\r\n"
-                       b"Content-Length: %d\r\n\r\n%s" % (words[2], len(words[4]), words[4]))
+            request = b"POST /hook HTTP/1.1\r\nHost: sink\r\nX-Request-ID: %s\r\n" b"Content-Length: %d\r\n\r\n%s" % (
+                words[2],
+                len(words[4]),
+                words[4],
+            )
             if self.idle:
                 self._pass(self.idle.pop(), request)
             else:
@@ -63,8 +66,7 @@
                 task.add_done_callback(self.tasks.discard)
 
     async def _open(self, request: bytes) -> None:
-        _, sink = await asyncio.get_running_loop().create_connection(
-            lambda: Sink(self.idle), "127.0.0.1", self.port)
+        _, sink = await asyncio.get_running_loop().create_connection(lambda: Sink(self.idle), "127.0.0.1", self.port)
         self._pass(sink, request)
 
     def _pass(self, sink: Sink, request: bytes) -> None:
--- a/benchmarks/kit.py
+++ b/benchmarks/kit.py
@@ -29,10 +29,15 @@
 def carried(rate: float, seconds: float) -> Carried:
     """Offer so many messages a second for so long."""
     scenario = Scenario(
-        name="sink", text="", seconds=seconds, relays=1, load=Load(rate=rate, of_full=0.3, clumps=0.0),
+        name="sink",
+        text="",
+        seconds=seconds,
+        relays=1,
+        load=Load(rate=rate, of_full=0.3, clumps=0.0),
         limits=Limits(sockets=16384),
         classes=(Class("keyed", 1, "keyed", 1000, 5000, service_ms=(5, 5), window_ms=5000),),
-        kinds=(Kind("sink", 1, (1, 1), limit="none", slow_cv=0.0),))
+        kinds=(Kind("sink", 1, (1, 1), limit="none", slow_cv=0.0),),
+    )
     schedule = plan.make(scenario, 1)
     if hasattr(os, "sched_setaffinity"):
         cores = os.sched_getaffinity(0)
@@ -49,8 +54,16 @@
         os.sched_setaffinity(0, cores)
     delivered = outcome.tally.statuses[200]
     late = sorted(
-        (outcome.tally.served[f"L{n}"].at - arrival.at) / 1e6 for n, arrival in enumerate(schedule.arrivals)
-        if f"L{n}" in outcome.tally.served)
+        (outcome.tally.served[f"L{n}"].at - arrival.at) / 1e6
+        for n, arrival in enumerate(schedule.arrivals)
+        if f"L{n}" in outcome.tally.served
+    )
     late = [value - late[0] for value in late]  # the plan began a little after the run
-    return Carried(delivered / seconds, cpu / max(1, delivered) * 1e6, cpu / took, late[int(0.99 * len(late))], late[-1],
-                   len(outcome.verdicts))
+    return Carried(
+        delivered / seconds,
+        cpu / max(1, delivered) * 1e6,
+        cpu / took,
+        late[int(0.99 * len(late))],
+        late[-1],
+        len(outcome.verdicts),
+    )
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -20,15 +20,31 @@
 
 START_TIME = 30.0  # seconds
 SETTINGS: dict[str, Any] = {
-    "balancers": 1, "discovery": "subscribe", "azs": ["north"], "kinds": ["plain"],
+    "balancers": 1,
+    "discovery": "subscribe",
+    "azs": ["north"],
+    "kinds": ["plain"],
     "classes": [
         {"name": "safe", "aim": 10**9, "deadline": 8 * 10**9, "idempotency": "retryable"},
-        {"name": "keyed", "aim": 2 * 10**9, "deadline": 12 * 10**9, "idempotency": "dedup",
-         "keyScope": "zone", "repeatWindow": 12 * 10**9},
+        {
+            "name": "keyed",
+            "aim": 2 * 10**9,
+            "deadline": 12 * 10**9,
+            "idempotency": "dedup",
+            "keyScope": "zone",
+            "repeatWindow": 12 * 10**9,
+        },
         {"name": "unsafe", "aim": 2 * 10**9, "deadline": 12 * 10**9, "idempotency": "fragile"},
     ],
-    "rules": {"fall": 3 * 10**9, "fallMultiple": 2.0, "rampTime": 10**10, "startCapacity": 0.2,
-              "drainGrace": 10**9, "askEvery": 10**10, "answerSlack": 250_000_000},
+    "rules": {
+        "fall": 3 * 10**9,
+        "fallMultiple": 2.0,
+        "rampTime": 10**10,
+        "startCapacity": 0.2,
+        "drainGrace": 10**9,
+        "askEvery": 10**10,
+        "answerSlack": 250_000_000,
+    },
 }
 
 
@@ -86,13 +102,13 @@
     def data_received(self, data: bytes) -> None:
         assert self.transport is not None
         if data.startswith(b"GET "):
-            self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n"
-                                 % (len(self.listing), self.listing))
+            self.transport.write(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(self.listing), self.listing)
+            )
             self._go_on()
         elif data.startswith(b"POST "):
             self.transport.write(b"HTTP/1.1 204 No Content\r\n\r\n")
 
-
     def _go_on(self) -> None:
         """An empty line every second: the watch is alive."""
         if self.transport is not None and not self.transport.is_closing():
@@ -103,8 +119,7 @@
 class Client(asyncio.Protocol):
     """A client that has one message out at a time: the next follows when one is taken on and delivered."""
 
-    def __init__(self, number: int, next_message: Callable[[int], bytes | None],
-                 done: Callable[[], None]) -> None:
+    def __init__(self, number: int, next_message: Callable[[int], bytes | None], done: Callable[[], None]) -> None:
         self.number = number
         self.next_message = next_message
         self.done = done
@@ -157,8 +172,13 @@
         self.left -= 1
         self.made += 1
         klass = ("safe", "keyed", "keyed", "unsafe")[self.made % 4]
-        words: Any = ("ENQUEUE", "0" * 16, f"{number}-{self.made:015d}",
-                      f"c={klass},d=7000,dest={self.made % self.dests},k={self.made:016x}", self.body)
+        words: Any = (
+            "ENQUEUE",
+            "0" * 16,
+            f"{number}-{self.made:015d}",
+            f"c={klass},d=7000,dest={self.made % self.dests},k={self.made:016x}",
+            self.body,
+        )
         return bytes(hiredis.pack_command(words))
 
     def _done(self) -> None:
@@ -173,8 +193,7 @@
         began = time.perf_counter()
         for client in self.clients:
             if client.transport is None:
-                await asyncio.get_running_loop().create_connection(
-                    functools.partial(_the, client), "127.0.0.1", port)
+                await asyncio.get_running_loop().create_connection(functools.partial(_the, client), "127.0.0.1", port)
             else:
                 client._go_on()
         await self.finished.wait()
@@ -192,21 +211,46 @@
     sink = await loop.create_server(lambda: Sink(load.delivered), "127.0.0.1", 0)
     sink_port = sink.sockets[0].getsockname()[1]
     endpoints = [
-        {"name": f"h{n}", "address": f"127.0.0.1:{sink_port}", "zone": "north", "type": "plain",
-         "group": n % dests, "status": "Ready", "weight": 1.0, "since_ms": 0} for n in range(2 * dests)]
+        {
+            "name": f"h{n}",
+            "address": f"127.0.0.1:{sink_port}",
+            "zone": "north",
+            "type": "plain",
+            "group": n % dests,
+            "status": "Ready",
+            "weight": 1.0,
+            "since_ms": 0,
+        }
+        for n in range(2 * dests)
+    ]
     listing = json.dumps({"index": 2, "snapshot": True, "endpoints": endpoints}).encode() + b"\n"
     platform = await loop.create_server(lambda: Platform(listing), "127.0.0.1", 0)
     with tempfile.TemporaryDirectory() as folder:
         port = free_port()
-        settings = {**SETTINGS, "familyInfo": {"callsOut": 128}, "limits": {
-            "mostHeld": 100_000, "mostTries": 6, "connectTimeout": 10**9, "connIdle": 10**10, "probes": True}}
-        Path(folder, "config.json").write_text(json.dumps({
-            "seed": "1", "limits": {"memory_mb": 512, "sockets": 8192, "disk_mb": 64},
-            "known": {"index": 1, "snapshot": True, "endpoints": endpoints}, "settings": settings}))
+        settings = {
+            **SETTINGS,
+            "familyInfo": {"callsOut": 128},
+            "limits": {"mostHeld": 100_000, "mostTries": 6, "connectTimeout": 10**9, "connIdle": 10**10, "probes": True},
+        }
+        Path(folder, "config.json").write_text(
+            json.dumps(
+                {
+                    "seed": "1",
+                    "limits": {"memory_mb": 512, "sockets": 8192, "disk_mb": 64},
+                    "known": {"index": 1, "snapshot": True, "endpoints": endpoints},
+                    "settings": settings,
+                }
+            )
+        )
         environment = {
-            **os.environ, "RELAY_NAME": "n0", "RELAY_STATE": folder, "RELAY_LOG_LEVEL": "WARNING",
-            "RELAY_CONFIG": str(Path(folder, "config.json")), "RELAY_LISTEN": f"127.0.0.1:{port}",
-            "RELAY_DISCOVERY": f"127.0.0.1:{platform.sockets[0].getsockname()[1]}"}
+            **os.environ,
+            "RELAY_NAME": "n0",
+            "RELAY_STATE": folder,
+            "RELAY_LOG_LEVEL": "WARNING",
+            "RELAY_CONFIG": str(Path(folder, "config.json")),
+            "RELAY_LISTEN": f"127.0.0.1:{port}",
+            "RELAY_DISCOVERY": f"127.0.0.1:{platform.sockets[0].getsockname()[1]}",
+        }
         words = [word.format(PORT=port, SINK=sink_port) for word in program]
         child = subprocess.Popen([sys.executable, "-m", *words], env=environment)
         try:
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -34,22 +34,52 @@
 
     def settings(self) -> io.Settings:
         return io.Settings(
-            relays=self.relays, slots=self.slots, tick=0, zone=0, discovery=io.Discovery.AUTOMATIC,
-            listed_rates=True, decay=io.Decay.EVEN,
-            classes=tuple(io.MessageClass(int(aim * SECOND), int(deadline * SECOND), worth, late, repeat, io.Scope.ALL,
-                                          5 * SECOND, False) for repeat, aim, deadline, worth, late in self.classes),
-            kinds=(io.Kind(False, 1),), tenant_rates=(), over_share_worth=1.0, zone_fees=(), refused_price=0.0, prices={},
+            relays=self.relays,
+            slots=self.slots,
+            tick=0,
+            zone=0,
+            discovery=io.Discovery.AUTOMATIC,
+            listed_rates=True,
+            decay=io.Decay.EVEN,
+            classes=tuple(
+                io.MessageClass(
+                    int(aim * SECOND), int(deadline * SECOND), worth, late, repeat, io.Scope.ALL, 5 * SECOND, False
+                )
+                for repeat, aim, deadline, worth, late in self.classes
+            ),
+            kinds=(io.Kind(False, 1),),
+            tenant_rates=(),
+            over_share_worth=1.0,
+            zone_fees=(),
+            refused_price=0.0,
+            prices={},
             rules=io.Rules(0, 10 * SECOND, SECOND, 3 * SECOND, 2.0, 10 * SECOND, 0.2, 0),
-            limits=io.Limits(True, True, False, False, False, self.held, self.tries, 0, SECOND, 10 * SECOND))
+            limits=io.Limits(True, True, False, False, False, self.held, self.tries, 0, SECOND, 10 * SECOND),
+        )
 
 
 CUSTOMERS = (
-    Customer("60 relays, 12 s", 60, 5, 77, 6, 0.8, (
-        (io.Repeat.KEYED, 2.5, 12, 1, 0.3), (io.Repeat.SAFE, 1, 8, 2, 0.1), (io.Repeat.UNSAFE, 2, 12, 5, 0.5))),
-    Customer("3 relays, 3 to 20 s", 3, 12, 60, 3, 1.5, (
-        (io.Repeat.SAFE, 0.7, 3, 3, 0.0), (io.Repeat.UNSAFE, 1.5, 9, 6, 0.3), (io.Repeat.KEYED, 4, 20, 0.5, 0.6))),
-    Customer("8 relays, unsafe 6 s", 8, 8, 100, 4, 1.2, (
-        (io.Repeat.UNSAFE, 1.2, 6, 4, 0.2), (io.Repeat.KEYED, 3, 40, 2, 0.5))),
+    Customer(
+        "60 relays, 12 s",
+        60,
+        5,
+        77,
+        6,
+        0.8,
+        ((io.Repeat.KEYED, 2.5, 12, 1, 0.3), (io.Repeat.SAFE, 1, 8, 2, 0.1), (io.Repeat.UNSAFE, 2, 12, 5, 0.5)),
+    ),
+    Customer(
+        "3 relays, 3 to 20 s",
+        3,
+        12,
+        60,
+        3,
+        1.5,
+        ((io.Repeat.SAFE, 0.7, 3, 3, 0.0), (io.Repeat.UNSAFE, 1.5, 9, 6, 0.3), (io.Repeat.KEYED, 4, 20, 0.5, 0.6)),
+    ),
+    Customer(
+        "8 relays, unsafe 6 s", 8, 8, 100, 4, 1.2, ((io.Repeat.UNSAFE, 1.2, 6, 4, 0.2), (io.Repeat.KEYED, 3, 40, 2, 0.5))
+    ),
 )
 
 
@@ -75,8 +105,9 @@
     draw, settings = random.Random(seed), customer.settings()
     pacer, result = made(settings, seed), Result()
     now, count = 1000 * SECOND, 0
-    hosts = tuple(io.HostEntry(f"h{n}", 0, 0, n, io.Availability.RUNNING, customer.pace * customer.relays)
-                  for n in range(DESTS))
+    hosts = tuple(
+        io.HostEntry(f"h{n}", 0, 0, n, io.Availability.RUNNING, customer.pace * customer.relays) for n in range(DESTS)
+    )
     free_at = [0] * DESTS
     coming: list[tuple[int, int, io.Event]] = []
     untried: dict[str, int] = {}
@@ -97,8 +128,9 @@
         while next_new <= now:
             count += 1
             klass = draw.randrange(len(settings.classes))
-            events.append(io.Arrived(f"new{count}", 0, klass, draw.randrange(DESTS), None,
-                                     settings.classes[klass].deadline))
+            events.append(
+                io.Arrived(f"new{count}", 0, klass, draw.randrange(DESTS), None, settings.classes[klass].deadline)
+            )
             next_new += round(draw.expovariate(0.8 * customer.pace * DESTS) * SECOND)
         while coming and coming[0][0] <= now:
             events.append(heapq.heappop(coming)[2])
@@ -118,8 +150,9 @@
     return result
 
 
-def answer(case: str, call: str, number: int, host: str, now: int, free_at: list[int], pace: float,
-           draw: random.Random) -> tuple[int, io.Event]:
+def answer(
+    case: str, call: str, number: int, host: str, now: int, free_at: list[int], pace: float, draw: random.Random
+) -> tuple[int, io.Event]:
     """When a call's outcome comes, and what it is."""
     dest = int(host[1:])
     took = round(draw.uniform(0.1, 0.4) * SECOND)
--- a/benchmarks/simulator.py
+++ b/benchmarks/simulator.py
@@ -36,7 +36,9 @@
 def play(kit: Path, site: str, relays: int, peers: bool, price: float, stock: str, quick: bool, why: str) -> int:
     """Score one site with so many relays on every day; the exit status of the kit's program."""
     changes: list[Change] = [
-        ("scale", "balancers", f"[{relays}, {relays + 1}]"), ("scale", "big_balancers", f"[{relays}, {relays + 1}]")]
+        ("scale", "balancers", f"[{relays}, {relays + 1}]"),
+        ("scale", "big_balancers", f"[{relays}, {relays + 1}]"),
+    ]
     if peers:
         changes += [("allow", "peers", "true"), ("prices", "peer", f"{price:g}")]
     if stock:
--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -14,18 +14,30 @@
 
 def settings(slots: int, held: int) -> io.Settings:
     def klass(repeat: io.Repeat, aim: int, deadline: int, worth: float, late: float) -> io.MessageClass:
-        return io.MessageClass(aim * SECOND, deadline * SECOND, worth, late, repeat, io.Scope.ZONE,
-                               12 * SECOND, False)
+        return io.MessageClass(aim * SECOND, deadline * SECOND, worth, late, repeat, io.Scope.ZONE, 12 * SECOND, False)
 
     return io.Settings(
-        relays=1, slots=slots, tick=0, zone=0, discovery=io.Discovery.AUTOMATIC, listed_rates=True,
+        relays=1,
+        slots=slots,
+        tick=0,
+        zone=0,
+        discovery=io.Discovery.AUTOMATIC,
+        listed_rates=True,
         decay=io.Decay.EVEN,
-        classes=(klass(io.Repeat.KEYED, 2, 28, 1, 0.3), klass(io.Repeat.SAFE, 1, 8, 2, 0.1),
-                 klass(io.Repeat.UNSAFE, 2, 28, 5, 0.5)),
-        kinds=(io.Kind(False, 1),), tenant_rates=(), over_share_worth=1.0, zone_fees=(), refused_price=0.0,
+        classes=(
+            klass(io.Repeat.KEYED, 2, 28, 1, 0.3),
+            klass(io.Repeat.SAFE, 1, 8, 2, 0.1),
+            klass(io.Repeat.UNSAFE, 2, 28, 5, 0.5),
+        ),
+        kinds=(io.Kind(False, 1),),
+        tenant_rates=(),
+        over_share_worth=1.0,
+        zone_fees=(),
+        refused_price=0.0,
         prices={},
         rules=io.Rules(250_000_000, 10 * SECOND, SECOND, 3 * SECOND, 2.0, 10 * SECOND, 0.2, 0),
-        limits=io.Limits(True, True, False, False, False, held, 6, 0, SECOND, 10 * SECOND))
+        limits=io.Limits(True, True, False, False, False, held, 6, 0, SECOND, 10 * SECOND),
+    )
 
 
 class Bed:
@@ -36,8 +48,7 @@
         self.now = SECOND
         self.count = 0
         self.attempts: dict[str, int] = {}
-        entries = tuple(io.HostEntry(f"h{n}", n % 2, 0, n // 2, io.Availability.RUNNING, 500.0)
-                        for n in range(2 * dests))
+        entries = tuple(io.HostEntry(f"h{n}", n % 2, 0, n // 2, io.Availability.RUNNING, 500.0) for n in range(2 * dests))
         self.turn(io.Roster(io.ListScope.WHOLE, entries))
 
     def turn(self, *events: io.Event) -> list[io.Action]:
@@ -53,8 +64,9 @@
         return io.Arrived(f"m{self.count}", 0, klass, dest, f"k{self.count}", 27 * SECOND)
 
     def answer(self, send: io.Send, status: io.Status = io.Status.OK, wait: int = 0) -> io.Verdict:
-        return io.Verdict(send.call, self.attempts[send.call], send.host, status, 20_000_000,
-                          status is io.Status.OK, wait, False, None)
+        return io.Verdict(
+            send.call, self.attempts[send.call], send.host, status, 20_000_000, status is io.Status.OK, wait, False, None
+        )
 
     def shut(self, dest: int, wait: int = SHUT_FOR) -> None:
         """Its next call is told to wait: what comes for it waits."""
@@ -83,9 +95,11 @@
 
 def life(bed: Bed, dests: range) -> Callable[[int], object]:
     """Two turns: a message comes and goes out, and is answered."""
+
     def step(n: int) -> None:
         for send in sends(bed.turn(bed.message(dests[n % len(dests)], 1))):
             bed.turn(bed.answer(send))
+
     return step
 
 
@@ -106,6 +120,7 @@
 
     def step(n: int) -> None:
         out.extend(sends(bed.turn(bed.answer(out.pop(0)), bed.message(0))))
+
     return microseconds(step, 400)
 
 
@@ -127,6 +142,7 @@
 
     def step(n: int) -> None:
         bed.turn(bed.message(n % 26))
+
     return microseconds(step, 400)
 
 
--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -63,28 +63,64 @@
         settings: dict[str, Any] = copy.deepcopy(SETTINGS)
         for klass in settings["classes"]:
             klass["deadline"] = DEADLINE * 10**9
-        settings["limits"] = {"mostHeld": 2 * held + 1000, "mostTries": 6, "connectTimeout": 10**9,
-                              "connIdle": 10**10, "probes": False, "cancel": False}
+        settings["limits"] = {
+            "mostHeld": 2 * held + 1000,
+            "mostTries": 6,
+            "connectTimeout": 10**9,
+            "connIdle": 10**10,
+            "probes": False,
+            "cancel": False,
+        }
         settings["familyInfo"] = {"callsOut": 8}
         self.port = _free()
         self.state = folder / "state"
         self.state.mkdir()
         self.config = folder / "config.json"
-        self.config.write_text(json.dumps({
-            "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": platform.address, "seed": "5",
-            "limits": {"memory_mb": 4000, "sockets": 1024, "disk_mb": 2000}, "settings": settings,
-            "known": {"index": 1, "snapshot": True, "endpoints": [
-                {"name": "s-1", "address": host.address, "zone": "north", "type": "plain", "group": 3,
-                 "status": "Ready", "weight": 50.0, "since_ms": 0}]}}))
+        self.config.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": f"127.0.0.1:{self.port}",
+                    "discovery": platform.address,
+                    "seed": "5",
+                    "limits": {"memory_mb": 4000, "sockets": 1024, "disk_mb": 2000},
+                    "settings": settings,
+                    "known": {
+                        "index": 1,
+                        "snapshot": True,
+                        "endpoints": [
+                            {
+                                "name": "s-1",
+                                "address": host.address,
+                                "zone": "north",
+                                "type": "plain",
+                                "group": 3,
+                                "status": "Ready",
+                                "weight": 50.0,
+                                "since_ms": 0,
+                            }
+                        ],
+                    },
+                }
+            )
+        )
 
     async def start(self, log: Path) -> tuple[asyncio.subprocess.Process, float]:
         """A process, once it says that it serves; how long that took (seconds)."""
         port, began = _free(), time.monotonic()
         with log.open("ab") as output:
             child = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "garnetrelay", stderr=output, env={
-                    **os.environ, "RELAY_CONFIG": str(self.config), "RELAY_STATE": str(self.state),
-                    "RELAY_OPS": f"127.0.0.1:{port}"})
+                sys.executable,
+                "-m",
+                "garnetrelay",
+                stderr=output,
+                env={
+                    **os.environ,
+                    "RELAY_CONFIG": str(self.config),
+                    "RELAY_STATE": str(self.state),
+                    "RELAY_OPS": f"127.0.0.1:{port}",
+                },
+            )
         async with asyncio.timeout(START_TIME):
             while not await staff.says_yes(port, "HEALTH"):
                 assert child.returncode is None, log.read_text()
@@ -97,8 +133,20 @@
     client = await Client.connect(port)
     for start in range(0, count, PIPED):
         batch = range(start, min(count, start + PIPED))
-        client.writer.write(b"".join(hiredis.pack_command((  # type: ignore[arg-type]
-            "ENQUEUE", "0", f"{prefix}-{n}", f"c=safe,d={(DEADLINE - 10) * 1000},dest=3", b"x" * 400)) for n in batch))
+        client.writer.write(
+            b"".join(
+                hiredis.pack_command(
+                    (  # type: ignore[arg-type]
+                        "ENQUEUE",
+                        "0",
+                        f"{prefix}-{n}",
+                        f"c=safe,d={(DEADLINE - 10) * 1000},dest=3",
+                        b"x" * 400,
+                    )
+                )
+                for n in batch
+            )
+        )
         for _ in batch:
             assert await client.read() == b"OK"
     client.writer.close()
@@ -175,10 +223,15 @@
 
 def compare(sizes: list[int]) -> None:
     """What clients notice of an upgrade, over what is held."""
-    print(f"{'held':>8}{'ready ms':>10}{'PING, longest ms':>18}{'before ms':>11}{'connected':>11}{'refused':>9}"
-          f"{'MB before':>11}{'MB, both':>10}{'descriptors':>13}{'of both':>9}")
+    print(
+        f"{'held':>8}{'ready ms':>10}{'PING, longest ms':>18}{'before ms':>11}{'connected':>11}{'refused':>9}"
+        f"{'MB before':>11}{'MB, both':>10}{'descriptors':>13}{'of both':>9}"
+    )
     for size in sizes:
         seen = asyncio.run(measured(size))
-        print(f"{size:>8}{seen.ready:>10.0f}{seen.silence:>18.1f}{seen.usual:>11.1f}{seen.connected:>11}"
-              f"{seen.refused:>9}{seen.before_mb:>11.1f}{seen.both_mb:>10.1f}{seen.descriptors_before:>13}"
-              f"{seen.descriptors:>9}", flush=True)
+        print(
+            f"{size:>8}{seen.ready:>10.0f}{seen.silence:>18.1f}{seen.usual:>11.1f}{seen.connected:>11}"
+            f"{seen.refused:>9}{seen.before_mb:>11.1f}{seen.both_mb:>10.1f}{seen.descriptors_before:>13}"
+            f"{seen.descriptors:>9}",
+            flush=True,
+        )
--- a/benchmarks/watches.py
+++ b/benchmarks/watches.py
@@ -25,17 +25,32 @@
     await platform.start()
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder, "config.json")
-        path.write_text(json.dumps({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": platform.address, "seed": str(seed),
-            "limits": {"memory_mb": 192, "sockets": 512, "disk_mb": 3},
-            "known": {"index": 1, "snapshot": True, "endpoints": []},
-            "settings": {
-                "balancers": relays, "discovery": mode,
-                "classes": [{"name": "notice", "aim": 10**9, "deadline": 8 * 10**9, "idempotency": "retryable"}],
-                "familyInfo": {"callsOut": 4},
-                "rules": {"fall": 3 * 10**9, "fallMultiple": 2.0, "rampTime": 10**10, "startCapacity": 0.2,
-                          "askEvery": 10**10},
-                "limits": {"mostHeld": 10, "mostTries": 6, "connectTimeout": 10**9, "connIdle": 10**10}}}))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": "127.0.0.1:0",
+                    "discovery": platform.address,
+                    "seed": str(seed),
+                    "limits": {"memory_mb": 192, "sockets": 512, "disk_mb": 3},
+                    "known": {"index": 1, "snapshot": True, "endpoints": []},
+                    "settings": {
+                        "balancers": relays,
+                        "discovery": mode,
+                        "classes": [{"name": "notice", "aim": 10**9, "deadline": 8 * 10**9, "idempotency": "retryable"}],
+                        "familyInfo": {"callsOut": 4},
+                        "rules": {
+                            "fall": 3 * 10**9,
+                            "fallMultiple": 2.0,
+                            "rampTime": 10**10,
+                            "startCapacity": 0.2,
+                            "askEvery": 10**10,
+                        },
+                        "limits": {"mostHeld": 10, "mostTries": 6, "connectTimeout": 10**9, "connIdle": 10**10},
+                    },
+                }
+            )
+        )
         relay = Relay(load({"RELAY_CONFIG": str(path), "RELAY_STATE": folder}))
         try:
             await relay.start()
--- a/garnetrelay/__main__.py
+++ b/garnetrelay/__main__.py
@@ -36,6 +36,7 @@
     if config.operators is None:
         return config, None, None
     from garnetrelay.upgrade import take  # only where it may be
+
     ahead = take.read_folder(config.state)
     inheritance = take.ask(config.state)
     if inheritance is None:
@@ -69,7 +70,9 @@
     level = os.environ.get("RELAY_LOG_LEVEL", "INFO").upper()
     logging.basicConfig(
         level=level if level in logging.getLevelNamesMapping() else "INFO",
-        format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s", datefmt="%H:%M:%S")
+        format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
+        datefmt="%H:%M:%S",
+    )
     try:
         config = load(os.environ)
         # A length in a client's command may ask for any amount of memory: refuse the absurd at once.
--- a/garnetrelay/cli/check_config.py
+++ b/garnetrelay/cli/check_config.py
@@ -12,8 +12,12 @@
 
 @click.command()
 @click.argument("file", type=click.Path(dir_okay=False, path_type=Path))
-@click.option("--options", type=click.Path(dir_okay=False, path_type=Path), envvar="RELAY_OPTIONS",
-              help="The file of options besides; RELAY_OPTIONS by default.")
+@click.option(
+    "--options",
+    type=click.Path(dir_okay=False, path_type=Path),
+    envvar="RELAY_OPTIONS",
+    help="The file of options besides; RELAY_OPTIONS by default.",
+)
 def command(file: Path, options: Path | None) -> None:
     """Read a configuration as a relay would, and say in one line what is wrong with it."""
     told = {"RELAY_CONFIG": str(file), "RELAY_STATE": ".", "RELAY_OPTIONS": str(options or "")}
@@ -23,10 +27,14 @@
         config = load(told)
     except ConfigError as error:
         raise click.ClickException(str(error)) from None
-    click.echo(f"{file}: good: {config.name} on {config.listen}, {len(config.class_names)} classes, "
-               f"{config.settings.slots} calls out at once, {config.sockets} descriptors, "
-               f"{config.disk_bytes / 1e6:g} MB of disk")
+    click.echo(
+        f"{file}: good: {config.name} on {config.listen}, {len(config.class_names)} classes, "
+        f"{config.settings.slots} calls out at once, {config.sockets} descriptors, "
+        f"{config.disk_bytes / 1e6:g} MB of disk"
+    )
     if config.fleet is not None:
         fleet = config.fleet
-        click.echo(f"{options}: a fleet's member at {fleet.advertise or fleet.listen}, {len(fleet.seeds)} seeds, a "
-                   f"probe in {fleet.settings.probe_every / 1e9:g} s, {len(fleet.secrets())} secrets")
+        click.echo(
+            f"{options}: a fleet's member at {fleet.advertise or fleet.listen}, {len(fleet.seeds)} seeds, a "
+            f"probe in {fleet.settings.probe_every / 1e9:g} s, {len(fleet.secrets())} secrets"
+        )
--- a/garnetrelay/cli/fleet.py
+++ b/garnetrelay/cli/fleet.py
@@ -37,14 +37,25 @@
         return
     own: State = msgspec.json.decode(lines[0], type=State)
     click.echo(f"{own.name}, life {own.life}: {own.condition} for {own.since:.1f} s ({own.why})")
-    click.echo(f"view {own.view} of {own.members} members, held by {own.same} others for sure, by {own.other} not; "
-               f"oldest word {_seconds(own.oldest_word)} s (at most {own.word_bound:.1f} where links are whole)")
+    click.echo(
+        f"view {own.view} of {own.members} members, held by {own.same} others for sure, by {own.other} not; "
+        f"oldest word {_seconds(own.oldest_word)} s (at most {own.word_bound:.1f} where links are whole)"
+    )
     click.echo(f"to be relied on: {own.relies}")
     table = Table("member", "life", "status", "for s", "word s", "view", "at", "by", "link", box=None)
     for line in lines[1:]:
         each: Line = msgspec.json.decode(line, type=Line)
-        table.add_row(each.name, str(each.life), each.status, f"{each.since:.1f}", _seconds(each.word_age), each.view,
-                      each.place, each.by, each.path)
+        table.add_row(
+            each.name,
+            str(each.life),
+            each.status,
+            f"{each.since:.1f}",
+            _seconds(each.word_age),
+            each.view,
+            each.place,
+            each.by,
+            each.path,
+        )
     Console(width=200 if not Console().is_terminal else None).print(table)
 
 
--- a/garnetrelay/cli/journal.py
+++ b/garnetrelay/cli/journal.py
@@ -38,8 +38,10 @@
     for number in unsealed:
         click.echo(f"segment {number} has no seal")
     uncertain = sum(entry.uncertain for entry in index.entries.values())
-    click.echo(f"{len(index.segments)} segments, {records} records, {len(index.entries)} live messages, "
-               f"{uncertain} uncertain")
+    click.echo(
+        f"{len(index.segments)} segments, {records} records, {len(index.entries)} live messages, "
+        f"{uncertain} uncertain"
+    )
     if (folder / legacy.NAME).exists():
         click.echo("a journal of an earlier version waits to be taken over")
     sys.exit(1 if unsealed or any(not _last(line, newest) for line in said) else 0)
@@ -75,9 +77,11 @@
             state += f", out since {_ago(now, entry.trying_at)} in {entry.trying_zone}"
         if entry.ran_at is not None:
             state += f", may have run {_ago(now, entry.ran_at)} ago in {entry.ran_zone}"
-        click.echo(f"{entry.ref} {entry.klass} to {entry.dest}, key {entry.key}, {len(entry.body)} bytes, "
-                   f"{(entry.deadline - now) / 1000:.1f} s left, {entry.attempts} attempts: {state}"
-                   f"{', uncertain' if entry.uncertain else ''}")
+        click.echo(
+            f"{entry.ref} {entry.klass} to {entry.dest}, key {entry.key}, {len(entry.body)} bytes, "
+            f"{(entry.deadline - now) / 1000:.1f} s left, {entry.attempts} attempts: {state}"
+            f"{', uncertain' if entry.uncertain else ''}"
+        )
 
 
 def _ago(now: float, at: int) -> str:
@@ -120,9 +124,13 @@
         raise click.ClickException(str(error)) from None
     click.echo(f"{'segment':>16}{'bytes':>10}{'live':>10}{'share':>7}{'records':>9}  state")
     for number, segment in sorted(index.segments.items()):
-        click.echo(f"{number:>16}{segment.size:>10}{segment.live:>10}{segment.live / max(1, segment.size):>7.2f}"
-                   f"{segment.records:>9}  {'sealed' if segment.sealed else 'open'}")
+        click.echo(
+            f"{number:>16}{segment.size:>10}{segment.live:>10}{segment.live / max(1, segment.size):>7.2f}"
+            f"{segment.records:>9}  {'sealed' if segment.sealed else 'open'}"
+        )
     used = sum(blocks(segment.size) for segment in index.segments.values())
     live = max(1, index.live)
-    click.echo(f"{used} bytes used, {index.live} live ({used / live:.2f} times), {len(index.entries)} messages, "
-               f"{len(index.tombs)} ends kept for older records")
+    click.echo(
+        f"{used} bytes used, {index.live} live ({used / live:.2f} times), {len(index.entries)} messages, "
+        f"{len(index.tombs)} ends kept for older records"
+    )
--- a/garnetrelay/cli/operators.py
+++ b/garnetrelay/cli/operators.py
@@ -25,8 +25,14 @@
             self.fail(str(error), parameter, context)
 
 
-ADDRESS = click.option("--at", "address", type=AddressType(), envvar="RELAY_OPS", required=True,
-                       help="Where staff call the relay; RELAY_OPS by default.")
+ADDRESS = click.option(
+    "--at",
+    "address",
+    type=AddressType(),
+    envvar="RELAY_OPS",
+    required=True,
+    help="Where staff call the relay; RELAY_OPS by default.",
+)
 
 
 def ask(address: Address, line: str, patience: float = ANSWER_TIME) -> str:
--- a/garnetrelay/cli/rehearse.py
+++ b/garnetrelay/cli/rehearse.py
@@ -23,21 +23,36 @@
 @click.command()
 @click.argument("name", metavar="SCENARIO", required=False)
 @click.option("--seed", default=1, show_default=True, help="Another seed is another evening of the same kind.")
-@click.option("--relays", type=click.IntRange(1, scenario.MOST_RELAYS),
-              help="How many relays, in place of the scenario's number.")
+@click.option(
+    "--relays", type=click.IntRange(1, scenario.MOST_RELAYS), help="How many relays, in place of the scenario's number."
+)
 @click.option("--seconds", type=click.FloatRange(1, 86400), help="How long, in place of the scenario's length.")
 @click.option("--json", "json_file", type=FILE, help="Write the report for machines.")
 @click.option("--html", "html_file", type=FILE, help="Write the report as one page with plots.")
 @click.option("--record", type=FILE, help="Write all that was observed, for --check.")
 @click.option("--check", type=FILE, help="Check a recording again, and play nothing.")
-@click.option("--logs", type=click.Path(file_okay=False, path_type=Path),
-              help="Keep the relays' logs, configurations and state folders here; the folder must be new.")
+@click.option(
+    "--logs",
+    type=click.Path(file_okay=False, path_type=Path),
+    help="Keep the relays' logs, configurations and state folders here; the folder must be new.",
+)
 @click.option("--command", help="How a relay is started, in place of this installation's daemon.")
 @click.option("--list", "list_", is_flag=True, help="List the scenarios.")
 @click.option("--quiet", is_flag=True, help="No live view.")
-def command(name: str | None, seed: int, relays: int | None, seconds: float | None, json_file: Path | None,
-            html_file: Path | None, record: Path | None, check: Path | None, logs: Path | None, command: str | None,
-            list_: bool, quiet: bool) -> None:
+def command(
+    name: str | None,
+    seed: int,
+    relays: int | None,
+    seconds: float | None,
+    json_file: Path | None,
+    html_file: Path | None,
+    record: Path | None,
+    check: Path | None,
+    logs: Path | None,
+    command: str | None,
+    list_: bool,
+    quiet: bool,
+) -> None:
     """Play SCENARIO (a name from --list, or a TOML file) against real relays on this machine, and check the rules.
 
     The exit status is 0 only if every rule held: 1 if one was broken, 2 if it could not be played.
@@ -73,6 +88,7 @@
         machine.write(outcome, json_file)
     if html_file is not None:
         from garnetrelay.rehearsal.report import page  # plots are slow to load: only where they are wanted
+
         page.write(outcome, html_file)
     sys.exit(0 if outcome.kept else BROKEN)
 
--- a/garnetrelay/cli/upgrade.py
+++ b/garnetrelay/cli/upgrade.py
@@ -52,13 +52,27 @@
 
 
 @click.command()
-@click.option("--state", type=click.Path(exists=True, file_okay=False, path_type=Path), envvar="RELAY_STATE",
-              required=True, help="The relay's state folder; RELAY_STATE by default.")
+@click.option(
+    "--state",
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    envvar="RELAY_STATE",
+    required=True,
+    help="The relay's state folder; RELAY_STATE by default.",
+)
 @click.option("--to", "to", help="The command that starts the new process; this installation's daemon by default.")
-@click.option("--staff", "address", type=AddressType(), required=True,
-              help="Where staff are to call the new process: another address than the old one's.")
-@click.option("--log", type=click.Path(dir_okay=False, path_type=Path), required=True,
-              help="The file that the new process's log is added to.")
+@click.option(
+    "--staff",
+    "address",
+    type=AddressType(),
+    required=True,
+    help="Where staff are to call the new process: another address than the old one's.",
+)
+@click.option(
+    "--log",
+    type=click.Path(dir_okay=False, path_type=Path),
+    required=True,
+    help="The file that the new process's log is added to.",
+)
 @click.option("--seconds", default=30.0, show_default=True, help="How long the new process may take until it serves.")
 def command(state: Path, to: str | None, address: Address, log: Path, seconds: float) -> None:
     """Upgrade the relay that serves from a state folder, while it serves.
@@ -76,8 +90,9 @@
     words = [sys.executable, "-m", "garnetrelay"] if to is None else shlex.split(to)
     try:
         with log.open("ab") as output:
-            new = subprocess.Popen(words, env=environment, stdin=subprocess.DEVNULL, stdout=output, stderr=output,
-                                   start_new_session=True)
+            new = subprocess.Popen(
+                words, env=environment, stdin=subprocess.DEVNULL, stdout=output, stderr=output, start_new_session=True
+            )
     except OSError as error:
         click.echo(f"garnetrelay: {words[0]}: {error.strerror}", err=True)
         sys.exit(UNUSABLE)
@@ -89,8 +104,10 @@
             status = new.wait()
         if status is not None:
             carries_on = "serves on" if alive(old) else "is gone too"
-            click.echo(f"garnetrelay: the new process ended with status {status}, see {log}; the old one "
-                       f"{carries_on}", err=True)
+            click.echo(
+                f"garnetrelay: the new process ended with status {status}, see {log}; the old one " f"{carries_on}",
+                err=True,
+            )
             sys.exit(FAILED)
         time.sleep(LOOK_EVERY)
     click.echo(f"process {new.pid} serves")
--- a/garnetrelay/config/deployment.py
+++ b/garnetrelay/config/deployment.py
@@ -72,8 +72,13 @@
     @property
     def shared_sockets(self) -> int:
         """Descriptors for clients and hosts together."""
-        return max(8, self.sockets - RESERVED - (OPERATORS if self.operators is not None else 0)
-                   - (FLEET if self.fleet is not None else 0))
+        return max(
+            8,
+            self.sockets
+            - RESERVED
+            - (OPERATORS if self.operators is not None else 0)
+            - (FLEET if self.fleet is not None else 0),
+        )
 
     @property
     def journal_bytes(self) -> int:
@@ -114,6 +119,7 @@
     if not environment.get("RELAY_OPTIONS"):
         return config
     from garnetrelay.config.options import read  # where nothing is switched on, nothing of it is loaded
+
     try:
         options, fleet = read(Path(environment["RELAY_OPTIONS"]), config.name)
     except ValueError as error:
--- a/garnetrelay/config/fleet.py
+++ b/garnetrelay/config/fleet.py
@@ -76,10 +76,20 @@
     secret_file = folder / table.secret_file
     read_secrets(secret_file)
     return Fleet(
-        listen, place(table.advertise, "advertise") if table.advertise else None, seeds, secret_file,
-        Settings(probe_every=table.probe_every_ms * MS, probe_timeout=table.probe_timeout_ms * MS,
-                 suspicion=table.suspicion, forget_after=table.forget_s * SECOND, most_members=table.most_members,
-                 exchange_every=30 * table.probe_every_ms * MS, versions=table.frames))
+        listen,
+        place(table.advertise, "advertise") if table.advertise else None,
+        seeds,
+        secret_file,
+        Settings(
+            probe_every=table.probe_every_ms * MS,
+            probe_timeout=table.probe_timeout_ms * MS,
+            suspicion=table.suspicion,
+            forget_after=table.forget_s * SECOND,
+            most_members=table.most_members,
+            exchange_every=30 * table.probe_every_ms * MS,
+            versions=table.frames,
+        ),
+    )
 
 
 def place(text: str, what: str, zero: bool = False) -> Place:
--- a/garnetrelay/config/options.py
+++ b/garnetrelay/config/options.py
@@ -32,6 +32,7 @@
         if options.fleet is None:
             return options, None
         from garnetrelay.config.fleet import FleetTable, check
+
         return options, check(_fleet(options.fleet, FleetTable), path.parent, name)
     except OSError as error:
         raise ValueError(f"{path}: {error.strerror}") from None
--- a/garnetrelay/delivery/http/answers.py
+++ b/garnetrelay/delivery/http/answers.py
@@ -19,7 +19,8 @@
 MOST_ANSWER = 64 * 1024  # beyond this an answer is not worth reading for its connection's sake
 MOST_REPORT = 200  # a report is a few figures
 DELIVERED = re.compile(  # a whole first line with 200, behind any number of 1xx answers
-    rb"(?:HTTP/1\.[01] 1\d\d[^\n]*+\n(?:[^\r\n][^\n]*+\n)*+\r?\n)*+HTTP/1\.[01] 200(?: [^\n]*)?\r?\n")
+    rb"(?:HTTP/1\.[01] 1\d\d[^\n]*+\n(?:[^\r\n][^\n]*+\n)*+\r?\n)*+HTTP/1\.[01] 200(?: [^\n]*)?\r?\n"
+)
 
 
 @dataclass(slots=True)
@@ -71,8 +72,21 @@
 class AnswerReader:
     """The answers on one connection, one at a time: ``begin`` before each call, then ``feed``."""
 
-    __slots__ = ("_parser", "_values", "_framed", "_informational", "_head", "_body", "received", "status",
-                 "outcome", "complete", "keep", "broken", "pending")
+    __slots__ = (
+        "_parser",
+        "_values",
+        "_framed",
+        "_informational",
+        "_head",
+        "_body",
+        "received",
+        "status",
+        "outcome",
+        "complete",
+        "keep",
+        "broken",
+        "pending",
+    )
 
     def __init__(self) -> None:
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
@@ -159,8 +173,11 @@
         self.status = status
         load = self._values.get(b"x-server-load")
         self.outcome = read_outcome(
-            status, self._values.get(b"x-backoff-ms", ""), self._values.get(b"x-egress-full", ""),
-            parse_report(load) if load is not None else None)
+            status,
+            self._values.get(b"x-backoff-ms", ""),
+            self._values.get(b"x-egress-full", ""),
+            parse_report(load) if load is not None else None,
+        )
 
     def on_body(self, body: bytes) -> None:
         if not self.complete and len(self._body) < MOST_REPORT:
--- a/garnetrelay/delivery/http/hosts.py
+++ b/garnetrelay/delivery/http/hosts.py
@@ -43,11 +43,17 @@
     """One call or probe: ``prepare`` gives its request at the last instant, or None to abandon it. Where some time
     may pass between that and its first byte, ``still_clear`` looks once more."""
 
-    __slots__ = ("host", "stop_at", "prepare", "still_clear", "_done", "ended", "connection", "opening", "timer",
-                 "ref")
-
-    def __init__(self, host: str, stop_at: int, prepare: Prepare, done: Callable[[Outcome], None],
-                 still_clear: Callable[[], bool] = always, ref: str | None = None) -> None:
+    __slots__ = ("host", "stop_at", "prepare", "still_clear", "_done", "ended", "connection", "opening", "timer", "ref")
+
+    def __init__(
+        self,
+        host: str,
+        stop_at: int,
+        prepare: Prepare,
+        done: Callable[[Outcome], None],
+        still_clear: Callable[[], bool] = always,
+        ref: str | None = None,
+    ) -> None:
         self.ref = ref  # of the message that it calls with; None: a probe
         self.still_clear = still_clear
         self.host = host
@@ -76,8 +82,7 @@
 
     def stops(self) -> None:
         """See that it ends in its time. An answer that lies there by then is read first."""
-        self.timer = asyncio.get_running_loop().call_at(
-            self.stop_at / SECOND, after_a_look, self._time_is_up)
+        self.timer = asyncio.get_running_loop().call_at(self.stop_at / SECOND, after_a_look, self._time_is_up)
 
     def _time_is_up(self) -> None:
         """Unless it has passed to another process since its timer came: that has cancelled the timer."""
@@ -107,8 +112,7 @@
 class Connection(asyncio.Protocol):
     """One connection to a host: carries an exchange, stands idle, or is gone."""
 
-    __slots__ = ("pool", "host", "address", "reader", "exchange", "at_end", "idle_from", "transport", "timer",
-                 "used")
+    __slots__ = ("pool", "host", "address", "reader", "exchange", "at_end", "idle_from", "transport", "timer", "used")
 
     def __init__(self, pool: Hosts, host: str, address: Address) -> None:
         self.pool = pool
@@ -157,8 +161,13 @@
     @property
     def can_pass(self) -> bool:
         """Whether another process can read on from here: all is written, and nothing of an answer has come."""
-        return (self.written_in_full() and not self.at_end and not self.reader.received
-                and self.transport is not None and not self.transport.is_closing())
+        return (
+            self.written_in_full()
+            and not self.at_end
+            and not self.reader.received
+            and self.transport is not None
+            and not self.transport.is_closing()
+        )
 
     @property
     def descriptor(self) -> int:
@@ -255,8 +264,14 @@
     """The connections to all hosts, and the exchanges on them. ``on_record`` puts down what the journal was told,
     and calls back with whether it is there: at once, or later (``delayed``)."""
 
-    def __init__(self, settings: io.Settings, room: Callable[[], int], more_room: Callable[[], bool],
-                 on_record: Callable[[Callable[[bool], None]], None], delayed: bool = False) -> None:
+    def __init__(
+        self,
+        settings: io.Settings,
+        room: Callable[[], int],
+        more_room: Callable[[], bool],
+        on_record: Callable[[Callable[[bool], None]], None],
+        delayed: bool = False,
+    ) -> None:
         self.connect_time = settings.limits.connect_timeout / SECOND or 1.0
         self.idle_time = IDLE_SHARE * settings.limits.conn_idle / SECOND
         self.room = room  # how many more connections there may be
@@ -329,8 +344,9 @@
         """Idle connections that are good."""
         return [connection for connection in self.resting if connection.usable]
 
-    async def adopt(self, found: socket.socket, host: str, address: Address, used: bool,
-                    exchange: Exchange | None) -> None:
+    async def adopt(
+        self, found: socket.socket, host: str, address: Address, used: bool, exchange: Exchange | None
+    ) -> None:
         """A connection that passed from another process, idle or with a call out."""
         loop = asyncio.get_running_loop()
         connection = Connection(self, host, address)
@@ -347,7 +363,8 @@
         try:
             async with asyncio.timeout(self.connect_time):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self, exchange.host, address), address.host, address.port)
+                    lambda: Connection(self, exchange.host, address), address.host, address.port
+                )
         except (OSError, TimeoutError):
             exchange.end(Outcome(io.Status.CONNECT_FAILED))
             return
@@ -386,8 +403,12 @@
 
     def rest(self, connection: Connection) -> None:
         """Keep a connection for the next call, or not."""
-        if (connection.transport is None or connection.transport.is_closing()
-                or self.addresses.get(connection.host) != connection.address or self.idle_time <= 0):
+        if (
+            connection.transport is None
+            or connection.transport.is_closing()
+            or self.addresses.get(connection.host) != connection.address
+            or self.idle_time <= 0
+        ):
             connection.abort()
             return
         connection.idle_from = time.monotonic()
@@ -445,8 +466,10 @@
     character: the front sees to that."""
     left = max(1, (stop_at - time.monotonic_ns()) // 1_000_000)
     keyed = "" if key is None else f"Idempotency-Key: {key}\r\n"
-    head = (f"POST /hook HTTP/1.1\r\nHost: {address}\r\nX-Request-ID: {ref}\r\n{keyed}"
-            f"X-Timeout-Ms: {left}\r\nContent-Length: {len(body)}\r\n\r\n")
+    head = (
+        f"POST /hook HTTP/1.1\r\nHost: {address}\r\nX-Request-ID: {ref}\r\n{keyed}"
+        f"X-Timeout-Ms: {left}\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
     return head.encode("ascii") + body
 
 
--- a/garnetrelay/fleet/mail.py
+++ b/garnetrelay/fleet/mail.py
@@ -31,8 +31,9 @@
 SECRET = b"all relays of a simulated day"
 PORT = 1
 # Notes cost: few words on them, and full exchanges only where views are seen to differ.
-SETTINGS = Settings(most_frame=MOST, most_words=4, probe_every=2 * SECOND, probe_timeout=200_000_000,
-                    exchange_every=3600 * SECOND)
+SETTINGS = Settings(
+    most_frame=MOST, most_words=4, probe_every=2 * SECOND, probe_timeout=200_000_000, exchange_every=3600 * SECOND
+)
 LEAST_TRIES = 0.2  # first tries of a relay a second: some 200 relays at limits of a few calls
 WORTH = 0.01  # of a day's result, that notes may cost at most at so many tries
 USUAL_NOTE = 128  # bytes
@@ -77,8 +78,10 @@
 
 def presumed(relays: int) -> dict[str, Claim]:
     """What every relay holds at its beginning, by name."""
-    return {f"r{relay}": Claim(f"r{relay}", 1, 0, 1, 0, Status.ALIVE, *place(relay), SETTINGS.versions)
-            for relay in range(relays)}
+    return {
+        f"r{relay}": Claim(f"r{relay}", 1, 0, 1, 0, Status.ALIVE, *place(relay), SETTINGS.versions)
+        for relay in range(relays)
+    }
 
 
 def settings_at(price: float) -> Settings:
--- a/garnetrelay/fleet/members/claims.py
+++ b/garnetrelay/fleet/members/claims.py
@@ -98,7 +98,8 @@
     def judged(self, status: Status, by: str, incarnation: int | None = None) -> Claim:
         """The same life with another word on it."""
         return msgspec.structs.replace(
-            self, status=status, by=by, incarnation=self.incarnation if incarnation is None else incarnation)
+            self, status=status, by=by, incarnation=self.incarnation if incarnation is None else incarnation
+        )
 
     def size(self) -> int:
         """Bytes that it takes in a frame."""
--- a/garnetrelay/fleet/members/condition.py
+++ b/garnetrelay/fleet/members/condition.py
@@ -36,8 +36,9 @@
     Condition.UNSETTLED: Relies(True, False, True, True, "numbers as an upper bound of its part; nothing grows"),
     Condition.CUT_OFF: Relies(False, False, True, True, "no numbers, nothing grows; what others saw holds back"),
     Condition.ALONE: Relies(False, False, False, False, "nothing but what is kept for each relay alone"),
-    Condition.JOINING: Relies(False, False, True, False, "nothing but what is kept for each relay alone; what others saw "
-                              "holds back"),
+    Condition.JOINING: Relies(
+        False, False, True, False, "nothing but what is kept for each relay alone; what others saw " "holds back"
+    ),
 }
 
 
--- a/garnetrelay/fleet/members/frames.py
+++ b/garnetrelay/fleet/members/frames.py
@@ -162,8 +162,10 @@
         if version not in VERSIONS:
             raise Refused("version")
         body = data[HEAD:]
-        if not any(number == data[3] and hmac.compare_digest(_digest(secret, version, body), data[4:HEAD])
-                   for number, secret in self.good):
+        if not any(
+            number == data[3] and hmac.compare_digest(_digest(secret, version, body), data[4:HEAD])
+            for number, secret in self.good
+        ):
             raise Refused("secret")
         try:
             frame: AnyFrame = _decoder.decode(body)
--- a/garnetrelay/fleet/members/holding.py
+++ b/garnetrelay/fleet/members/holding.py
@@ -32,8 +32,9 @@
 class Holding:
     """The words that hold, at one relay."""
 
-    def __init__(self, own: Claim, settings: Settings, effects: list[Effect],
-                 enters: Callable[[str], None] = lambda name: None) -> None:
+    def __init__(
+        self, own: Claim, settings: Settings, effects: list[Effect], enters: Callable[[str], None] = lambda name: None
+    ) -> None:
         self.settings = settings
         self.own = Own(own)
         self.table = Table(settings.most_members)
@@ -63,8 +64,7 @@
         """When a suspected member is held to have failed."""
         assert member.suspicion is not None
         suspicion = member.suspicion
-        return suspicion.began + suspicion.stretched + self.settings.suspicion_time(
-            suspicion.members, len(suspicion.by))
+        return suspicion.began + suspicion.stretched + self.settings.suspicion_time(suspicion.members, len(suspicion.by))
 
     def next_judgement(self) -> int | None:
         """When the next suspicion ends; None where there is none, or this relay has no word."""
@@ -142,8 +142,11 @@
             self.figures.failed += 1
             ago = "none" if member.word_at is None else f"{(now - member.word_at) / 1e9:.1f} s old"
             also = f", {', '.join(sorted(suspicion.by))} too" if suspicion.by else ""
-            self._note(f"judges {name} life {held.life} failed: suspected by {held.by}{also} for "
-                       f"{(now - suspicion.began) / 1e9:.1f} s, last word of it {ago}", logging.WARNING)
+            self._note(
+                f"judges {name} life {held.life} failed: suspected by {held.by}{also} for "
+                f"{(now - suspicion.began) / 1e9:.1f} s, last word of it {ago}",
+                logging.WARNING,
+            )
             self.hear(now, held.judged(Status.FAILED, self.name))
 
     def stretch(self, by: int) -> None:
@@ -181,8 +184,11 @@
             self._effects.append(KeepLife(self.own.wanted))
         elif answer is Answer.ASIDE:
             self.spreading.drop(claim.name)
-            self._note(f"another process at {claim.place} has this name: {claim.said()}; standing aside until that life "
-                       "has ended", logging.ERROR)
+            self._note(
+                f"another process at {claim.place} has this name: {claim.said()}; standing aside until that life "
+                "has ended",
+                logging.ERROR,
+            )
         return answer
 
     def _note_change(self, held: Claim | None, claim: Claim, change: Change) -> None:
--- a/garnetrelay/fleet/members/own.py
+++ b/garnetrelay/fleet/members/own.py
@@ -49,7 +49,8 @@
             if claim.final or claim.incarnation >= MOST_INCARNATION:
                 return self._want(claim, True)
             if claim.incarnation > own.incarnation or (
-                    claim.status is Status.SUSPECT and claim.incarnation == own.incarnation):
+                claim.status is Status.SUSPECT and claim.incarnation == own.incarnation
+            ):
                 self.claim = msgspec.structs.replace(own, incarnation=claim.incarnation + 1)
                 return Answer.REFUTED
             return Answer.NOTHING
--- a/garnetrelay/fleet/members/protocol.py
+++ b/garnetrelay/fleet/members/protocol.py
@@ -45,8 +45,15 @@
 class Members:
     """The decisions of one relay."""
 
-    def __init__(self, own: Claim, settings: Settings, draw: random.Random, now: int, seeds: Sequence[Place] = (),
-                 sequence: int = 0) -> None:
+    def __init__(
+        self,
+        own: Claim,
+        settings: Settings,
+        draw: random.Random,
+        now: int,
+        seeds: Sequence[Place] = (),
+        sequence: int = 0,
+    ) -> None:
         self.settings = settings
         self._effects: list[Effect] = []
         self._rounds = Rounds(draw)
@@ -278,11 +285,17 @@
             return
         sender = frame.sender
         if isinstance(frame, fr.Ping):
-            self._tell(source, fr.Ack(sender=self.own.claim, sequence=self._next(), number=frame.number, claims=[held]),
-                       self._version(sender))
+            self._tell(
+                source,
+                fr.Ack(sender=self.own.claim, sequence=self._next(), number=frame.number, claims=[held]),
+                self._version(sender),
+            )
         elif isinstance(frame, fr.AskFor):
-            self._tell(source, fr.Ping(sender=self.own.claim, sequence=self._next(), number=0, claims=[held]),
-                       self._version(sender))
+            self._tell(
+                source,
+                fr.Ping(sender=self.own.claim, sequence=self._next(), number=0, claims=[held]),
+                self._version(sender),
+            )
 
     def _challenge(self, now: int, frame: fr.AnyFrame, source: Place) -> None:
         """A life that is not known: answer it, so that it knows us, and ask it."""
@@ -291,10 +304,14 @@
             return
         version = self._version(frame.sender)
         if isinstance(frame, fr.Ping):
-            self._tell(source, fr.Ack(sender=self.own.claim, sequence=self._next(), number=frame.number,
-                                      summary=self._summary()), version)
+            self._tell(
+                source,
+                fr.Ack(sender=self.own.claim, sequence=self._next(), number=frame.number, summary=self._summary()),
+                version,
+            )
         number = self._questions.ask_stranger(
-            Question(Why.STRANGER, now, now + self.settings.probe_every, frame.sender.name), source)
+            Question(Why.STRANGER, now, now + self.settings.probe_every, frame.sender.name), source
+        )
         if number is not None:
             self._tell(source, fr.Ping(sender=self.own.claim, sequence=self._next(), number=number), 1)
 
@@ -306,23 +323,49 @@
         claims = self.holding.spreading.take(room - kept, self._limit(), ping.sender.name)
         room -= sum(claim.size() for claim in claims)
         words = worth.told(self.table, self._rounds, now, min(room, self.settings.most_words * fr.WORD.size))
-        self._tell(source, fr.Ack(sender=self.own.claim, sequence=self._next(), number=ping.number, claims=claims,
-                                  summary=self._summary(), words=words, heard=min(heard, fr.MOST_AGE)),
-                   self._version(member.claim))
+        self._tell(
+            source,
+            fr.Ack(
+                sender=self.own.claim,
+                sequence=self._next(),
+                number=ping.number,
+                claims=claims,
+                summary=self._summary(),
+                words=words,
+                heard=min(heard, fr.MOST_AGE),
+            ),
+            self._version(member.claim),
+        )
 
     def _ask_for(self, now: int, asked: fr.AskFor, member: Member, source: Place) -> None:
         """Ask another for a third."""
         target = self.table.members.get(asked.target)
-        number = self._questions.ask(Question(
-            Why.FOR_OTHER, now, now + self.settings.probe_every, asked.target, origin=source,
-            origin_number=asked.number, origin_version=self._version(member.claim),
-            nack_at=now + self.settings.probe_timeout * 4 // 5))
+        number = self._questions.ask(
+            Question(
+                Why.FOR_OTHER,
+                now,
+                now + self.settings.probe_every,
+                asked.target,
+                origin=source,
+                origin_number=asked.number,
+                origin_version=self._version(member.claim),
+                nack_at=now + self.settings.probe_timeout * 4 // 5,
+            )
+        )
         if number is None:
             return
         place = Place(asked.host, asked.port) if target is None else target.claim.place
-        self._tell(place, fr.Ping(sender=self.own.claim, sequence=self._next(), number=number, origin=asked.sender.name,
-                                  claims=[] if target is None or target.suspicion is None else [target.claim]),
-                   1 if target is None else self._version(target.claim))
+        self._tell(
+            place,
+            fr.Ping(
+                sender=self.own.claim,
+                sequence=self._next(),
+                number=number,
+                origin=asked.sender.name,
+                claims=[] if target is None or target.suspicion is None else [target.claim],
+            ),
+            1 if target is None else self._version(target.claim),
+        )
 
     def _acked(self, now: int, ack: fr.Ack, question: Question, member: Member) -> None:
         view = -1 if ack.summary is None else ack.summary.view
@@ -337,10 +380,20 @@
                 self._slower(-1)
             probe.done = True
         elif question.why is Why.FOR_OTHER and question.origin is not None:
-            self._tell(question.origin, fr.Vouch(
-                sender=self.own.claim, sequence=self._next(), number=question.origin_number, target=member.claim.name,
-                life=ack.sender.life, process=ack.sender.process, incarnation=ack.sender.incarnation, heard=ack.heard),
-                question.origin_version)
+            self._tell(
+                question.origin,
+                fr.Vouch(
+                    sender=self.own.claim,
+                    sequence=self._next(),
+                    number=question.origin_number,
+                    target=member.claim.name,
+                    life=ack.sender.life,
+                    process=ack.sender.process,
+                    incarnation=ack.sender.incarnation,
+                    heard=ack.heard,
+                ),
+                question.origin_version,
+            )
         if view >= 0 and view != self.view:
             self._repair(now, member)
 
@@ -398,8 +451,14 @@
         return fr.Summary(self.view, self.count)
 
     def _whole(self, number: int, ask: int) -> fr.Whole:
-        return fr.Whole(sender=self.own.claim, sequence=self._next(), number=number, ask=ask,
-                        claims=list(self.table.claims())[:fr.MOST_CLAIMS], summary=self._summary())
+        return fr.Whole(
+            sender=self.own.claim,
+            sequence=self._next(),
+            number=number,
+            ask=ask,
+            claims=list(self.table.claims())[: fr.MOST_CLAIMS],
+            summary=self._summary(),
+        )
 
     # ---- time
 
@@ -435,10 +494,18 @@
             self._count(now)
         failed, same, other = self._facts
         facts = Facts(
-            joined=self.joined, named=self.own.named, others=len(self.table), alone_after=self._patience(),
+            joined=self.joined,
+            named=self.own.named,
+            others=len(self.table),
+            alone_after=self._patience(),
             answered_ago=None if self._answered_at is None else now - self._answered_at,
-            suspects=len(self.holding.suspects), failed_lately=failed, changed=changed,
-            agreeing=same, differing=other, slow=self.slow)
+            suspects=len(self.holding.suspects),
+            failed_lately=failed,
+            changed=changed,
+            agreeing=same,
+            differing=other,
+            slow=self.slow,
+        )
         before = self.doubt.condition
         if self.doubt.look(now, facts, self.settings.calm_after(self.count)):
             self._note(f"{before.name.lower()} -> {self.doubt.condition.name.lower()}: {self.doubt.why}")
@@ -449,8 +516,9 @@
     def _count(self, now: int) -> None:
         """Counts over all members: once a period, and when the view changes."""
         since = now - self.settings.lately
-        failed = sum(member.claim.status is Status.FAILED and member.changed_at >= since
-                     for member in self.table.gone.values())
+        failed = sum(
+            member.claim.status is Status.FAILED and member.changed_at >= since for member in self.table.gone.values()
+        )
         self._facts = (failed, *self.sharing())
 
     def _when(self, now: int) -> int:
@@ -464,8 +532,11 @@
             moments.append(self._join_at)
         if self._retry_life_at is not None:
             moments.append(self._retry_life_at)
-        maybe = (self.holding.next_judgement(), self._questions.next_at(),
-                 self.doubt.out_at(self.settings.calm_after(self.count)))
+        maybe = (
+            self.holding.next_judgement(),
+            self._questions.next_at(),
+            self.doubt.out_at(self.settings.calm_after(self.count)),
+        )
         moments += [moment for moment in maybe if moment is not None]
         return max(min(moments), now + MS // 10)
 
@@ -473,8 +544,11 @@
         """Questions whose time is over; a Nack to those who wait for one."""
         for question in self._questions.unanswered(now):
             if question.origin is not None:
-                self._tell(question.origin, fr.Nack(sender=self.own.claim, sequence=self._next(),
-                                                    number=question.origin_number), question.origin_version)
+                self._tell(
+                    question.origin,
+                    fr.Nack(sender=self.own.claim, sequence=self._next(), number=question.origin_number),
+                    question.origin_version,
+                )
 
     def _slower(self, by: int) -> None:
         if self.settings.lifeguard:
@@ -517,8 +591,11 @@
         claims = [claim] if member.suspicion is not None and self.settings.lifeguard else []
         room = self._room() - sum(one.size() for one in claims)
         claims += self.holding.spreading.take(room, self._limit(), claim.name)
-        self._tell(claim.place, fr.Ping(sender=self.own.claim, sequence=self._next(), number=number, claims=claims,
-                                        summary=self._summary()), self._version(claim))
+        self._tell(
+            claim.place,
+            fr.Ping(sender=self.own.claim, sequence=self._next(), number=number, claims=claims, summary=self._summary()),
+            self._version(claim),
+        )
 
     def _ask_others(self, now: int, probe: Probe) -> None:
         target = self.table.members.get(probe.name)
@@ -531,9 +608,18 @@
         probe.expected_nacks = len(chosen)
         for name in chosen:
             member = self.table.members[name]
-            self._tell(member.claim.place, fr.AskFor(
-                sender=self.own.claim, sequence=self._next(), number=probe.number, target=probe.name,
-                host=target.claim.host, port=target.claim.port), self._version(member.claim))
+            self._tell(
+                member.claim.place,
+                fr.AskFor(
+                    sender=self.own.claim,
+                    sequence=self._next(),
+                    number=probe.number,
+                    target=probe.name,
+                    host=target.claim.host,
+                    port=target.claim.port,
+                ),
+                self._version(member.claim),
+            )
 
     def _unanswered(self, now: int, probe: Probe) -> None:
         """Neither it nor anybody for it has answered."""
@@ -541,9 +627,12 @@
             self._slower(0 if probe.nacks else 1)
         else:
             self._slower(1)
-        self.holding.suspect(now, probe.name, probe.identity,
-                             f"no answer, nor to the {probe.expected_nacks} that asked for this relay, of whom "
-                             f"{probe.nacks} answered")
+        self.holding.suspect(
+            now,
+            probe.name,
+            probe.identity,
+            f"no answer, nor to the {probe.expected_nacks} that asked for this relay, of whom " f"{probe.nacks} answered",
+        )
 
     # ---- staying in contact
 
@@ -585,10 +674,15 @@
         if self.seeds:
             known = {member.claim.place for member in self.table if member.claim.status is not Status.LEFT}
             doors += [(seed, [], 1) for seed in self.seeds if seed not in known]
-        doors += [(member.claim.place, [member.claim], self._version(member.claim))
-                  for member in self.table.gone.values() if member.claim.status is Status.FAILED]
-        doors += [(member.claim.place, [member.claim], self._version(member.claim))
-                  for member in map(self.table.members.__getitem__, self.holding.suspects)]
+        doors += [
+            (member.claim.place, [member.claim], self._version(member.claim))
+            for member in self.table.gone.values()
+            if member.claim.status is Status.FAILED
+        ]
+        doors += [
+            (member.claim.place, [member.claim], self._version(member.claim))
+            for member in map(self.table.members.__getitem__, self.holding.suspects)
+        ]
         if not self.own.named or self._answered_at is None:
             doors += [(member.claim.place, [], self._version(member.claim)) for member in self.table.members.values()]
         if not doors:
@@ -597,8 +691,9 @@
         self._knocked += 1
         number = self._questions.ask(Question(Why.KNOCK, now, now + self.settings.probe_every))
         if number is not None:
-            self._tell(place, fr.Ping(sender=self.own.claim, sequence=self._next(), number=number, claims=claims),
-                       version)
+            self._tell(
+                place, fr.Ping(sender=self.own.claim, sequence=self._next(), number=number, claims=claims), version
+            )
 
     def _repair(self, now: int, member: Member) -> None:
         """Somebody holds another view: a full exchange, unless words may still be on their way."""
--- a/garnetrelay/fleet/members/table.py
+++ b/garnetrelay/fleet/members/table.py
@@ -114,8 +114,12 @@
             # Addresses may differ where the process number does not: one of them holds everywhere.
             if (claim.host, claim.port, claim.speaks) > (held.host, held.port, held.speaks):
                 member.claim = claim
-            if claim.status is Status.SUSPECT and member.suspicion is not None and claim.by not in member.suspicion.by \
-                    and claim.by != held.by:
+            if (
+                claim.status is Status.SUSPECT
+                and member.suspicion is not None
+                and claim.by not in member.suspicion.by
+                and claim.by != held.by
+            ):
                 member.suspicion.by.add(claim.by)
                 return Change.AGAIN
             return Change.NOTHING
--- a/garnetrelay/fleet/members/worth.py
+++ b/garnetrelay/fleet/members/worth.py
@@ -26,8 +26,10 @@
             found.append((member.word_at, name, member))
     found.sort(reverse=True, key=lambda each: each[:2])
     return fr.pack_words(
-        fr.Word(mark(name, member.claim.identity) >> 16, age, member.word_view) for at, name, member in found[:most]
-        if (age := (now - at) // MS + 1) < fr.OLDEST_WORD)
+        fr.Word(mark(name, member.claim.identity) >> 16, age, member.word_view)
+        for at, name, member in found[:most]
+        if (age := (now - at) // MS + 1) < fr.OLDEST_WORD
+    )
 
 
 def hear(table: Table, words: bytes, asked_at: int) -> None:
--- a/garnetrelay/fleet/service.py
+++ b/garnetrelay/fleet/service.py
@@ -40,8 +40,9 @@
 class Fleet:
     """A member."""
 
-    def __init__(self, config: FleetConfig, name: str, state: Path, sync: bool,
-                 passed: dict[str, Any] | None = None) -> None:
+    def __init__(
+        self, config: FleetConfig, name: str, state: Path, sync: bool, passed: dict[str, Any] | None = None
+    ) -> None:
         self.config = config
         self.name = name
         self.file = LifeFile(state, sync)
@@ -65,15 +66,26 @@
         if self._passed is None:
             life = 1 if kept is None else kept.life + 1
             self.file.keep(life, seeds)
-            own = Claim(self.name, life, secrets.randbits(32), life, 0, Status.ALIVE, place.host, place.port,
-                        self.config.settings.versions)
+            own = Claim(
+                self.name,
+                life,
+                secrets.randbits(32),
+                life,
+                0,
+                Status.ALIVE,
+                place.host,
+                place.port,
+                self.config.settings.versions,
+            )
             self.members = Members(own, self.config.settings, random.Random(secrets.randbits(64)), now, seeds)
         else:
             passed = self._passed
-            own = msgspec.structs.replace(passed.own, host=place.host, port=place.port,
-                                          speaks=self.config.settings.versions)
-            self.members = Members(own, self.config.settings, random.Random(secrets.randbits(64)), now, seeds,
-                                   passed.sequence + AHEAD)
+            own = msgspec.structs.replace(
+                passed.own, host=place.host, port=place.port, speaks=self.config.settings.versions
+            )
+            self.members = Members(
+                own, self.config.settings, random.Random(secrets.randbits(64)), now, seeds, passed.sequence + AHEAD
+            )
             self._carry_out(self.members.go_on_from(now, passed.claims))
         log.info("fleet: %s hears at %s, life %d", self.name, found, own.life)
         self._tick()
@@ -116,8 +128,13 @@
         """This relay and all others, a JSON object a line."""
         assert self.members is not None
         now = time.monotonic_ns()
-        return "\n".join(msgspec.json.encode(each).decode() for each in (
-            words.state(self.members, now), *words.lines(self.members, now))) + "\n"
+        return (
+            "\n".join(
+                msgspec.json.encode(each).decode()
+                for each in (words.state(self.members, now), *words.lines(self.members, now))
+            )
+            + "\n"
+        )
 
     def explain(self, name: str) -> list[str] | None:
         """Why a member is held for what it is."""
@@ -127,8 +144,14 @@
     def figures(self) -> str:
         assert self.members is not None
         transport = self.transport
-        return words.figures(self.members, transport.refused, transport.frames_out, transport.bytes_in,
-                             transport.bytes_out, time.monotonic_ns())
+        return words.figures(
+            self.members,
+            transport.refused,
+            transport.frames_out,
+            transport.bytes_in,
+            transport.bytes_out,
+            time.monotonic_ns(),
+        )
 
     # ---- what happens
 
--- a/garnetrelay/fleet/transport.py
+++ b/garnetrelay/fleet/transport.py
@@ -50,6 +50,7 @@
 
     async def start(self, listen: Place, answer: Callable[[Stream], Awaitable[None]]) -> Place:
         """Take the address; the one that came of it. ``answer`` is called for each exchange that another begins."""
+
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             stream = Stream(self, reader, writer)
             if self._answering >= MOST_ANSWERED:
@@ -147,7 +148,8 @@
         self._begun += 1
         try:
             reader, writer = await asyncio.open_connection(
-                place.host, place.port, local_addr=(self._host, 0), limit=fr.MOST_EXCHANGE + LENGTH.size)
+                place.host, place.port, local_addr=(self._host, 0), limit=fr.MOST_EXCHANGE + LENGTH.size
+            )
         except BaseException:
             self._begun -= 1
             raise
--- a/garnetrelay/fleet/words.py
+++ b/garnetrelay/fleet/words.py
@@ -53,10 +53,21 @@
     ages = [members.age(name, now) for name in members.table.members]
     oldest = None if not ages or None in ages else max(age for age in ages if age is not None) / 1e9
     own = members.own.claim
-    return State(own.name, own.life, members.condition.name.lower(), members.doubt.why,
-                 round((now - members.doubt.since) / 1e9, 3), RELIES[members.condition].text, members.count,
-                 f"{members.view:08x}", same, other, None if oldest is None else round(oldest, 3),
-                 members.settings.word_bound(members.count) / 1e9, members.slow)
+    return State(
+        own.name,
+        own.life,
+        members.condition.name.lower(),
+        members.doubt.why,
+        round((now - members.doubt.since) / 1e9, 3),
+        RELIES[members.condition].text,
+        members.count,
+        f"{members.view:08x}",
+        same,
+        other,
+        None if oldest is None else round(oldest, 3),
+        members.settings.word_bound(members.count) / 1e9,
+        members.slow,
+    )
 
 
 def lines(members: Members, now: int) -> Iterator[Line]:
@@ -69,10 +80,17 @@
     claim = member.claim
     fresh = member.word_at is not None and member.word_at >= members.view_changed_at and member.word_view >= 0
     return Line(
-        claim.name, claim.life, claim.born, claim.status.name.lower(), str(claim.place),
+        claim.name,
+        claim.life,
+        claim.born,
+        claim.status.name.lower(),
+        str(claim.place),
         None if member.word_at is None else round((now - member.word_at) / 1e9, 3),
         "unknown" if not fresh else "same" if member.word_view == members.view else "other",
-        "" if member.path is Path.WHOLE else member.path.value, claim.by, round((now - member.changed_at) / 1e9, 3))
+        "" if member.path is Path.WHOLE else member.path.value,
+        claim.by,
+        round((now - member.changed_at) / 1e9, 3),
+    )
 
 
 def explain(members: Members, name: str, now: int) -> list[str] | None:
@@ -95,22 +113,33 @@
     if told.word_age is None:
         said.append("no word of it in this life")
     else:
-        said.append(f"it was there {told.word_age:.1f} s ago or later" + (
-            "" if member.first_hand else ", by what others said: it has never answered this relay itself"))
+        said.append(
+            f"it was there {told.word_age:.1f} s ago or later"
+            + ("" if member.first_hand else ", by what others said: it has never answered this relay itself")
+        )
     if not claim.final:
-        said.append({"same": "it held this relay's view then", "other": "it held another view then",
-                     "unknown": "whether it holds this relay's view is not known yet"}[told.view])
+        said.append(
+            {
+                "same": "it held this relay's view then",
+                "other": "it held another view then",
+                "unknown": "whether it holds this relay's view is not known yet",
+            }[told.view]
+        )
     if member.path is not Path.WHOLE:
-        said.append(f"{member.path.value}, for {(now - member.path_since) / 1e9:.1f} s; {member.path_by} reaches it: "
-                    "a link is at fault, not the relay")
+        said.append(
+            f"{member.path.value}, for {(now - member.path_since) / 1e9:.1f} s; {member.path_by} reaches it: "
+            "a link is at fault, not the relay"
+        )
     return said
 
 
 def _explain_self(members: Members, now: int) -> list[str]:
     own, told = members.own, state(members, now)
-    said = [f"this relay: {own.claim.said()}, {told.condition} for {told.since:.1f} s: {told.why}",
-            f"to be relied on: {told.relies}",
-            f"{told.members} in its view {told.view}: {told.same} others are known to hold it, {told.other} another one"]
+    said = [
+        f"this relay: {own.claim.said()}, {told.condition} for {told.since:.1f} s: {told.why}",
+        f"to be relied on: {told.relies}",
+        f"{told.members} in its view {told.view}: {told.same} others are known to hold it, {told.other} another one",
+    ]
     if own.aside is not None:
         said.append(f"it stands aside for {own.aside.said()} at {own.aside.place}, a process of the same name")
     if own.wanted:
@@ -126,18 +155,31 @@
     """The fleet's part of the figures, a line each."""
     told, count = state(members, now), Counter(member.claim.status.name.lower() for member in members.table)
     rows: list[tuple[str, float]] = [
-        ("members", told.members), ("condition", float(members.condition)), ("life", told.life),
-        ("views_same", told.same), ("views_other", told.other), ("slow", told.slow),
-        ("suspicions", members.holding.figures.suspected), ("judged_failed", members.holding.figures.failed),
-        ("refuted", members.holding.figures.refuted), ("slept", members.figures.slept), ("frames_out", frames_out),
-        ("bytes_in", bytes_in), ("bytes_out", bytes_out)]
+        ("members", told.members),
+        ("condition", float(members.condition)),
+        ("life", told.life),
+        ("views_same", told.same),
+        ("views_other", told.other),
+        ("slow", told.slow),
+        ("suspicions", members.holding.figures.suspected),
+        ("judged_failed", members.holding.figures.failed),
+        ("refuted", members.holding.figures.refuted),
+        ("slept", members.figures.slept),
+        ("frames_out", frames_out),
+        ("bytes_in", bytes_in),
+        ("bytes_out", bytes_out),
+    ]
     if told.oldest_word is not None:
         rows.append(("oldest_word_seconds", told.oldest_word))
     rows += [(f'others{{status="{status}"}}', count[status]) for status in ("alive", "suspect", "failed", "left")]
-    rows += [(f'frames_in{{kind="{escaped(kind.lower())}"}}', number) for kind, number in
-             sorted(members.figures.frames.items())]
-    rows += [(f'frames_refused{{cause="{escaped(cause)}"}}', number)
-             for cause, number in sorted((members.figures.refused + refused).items())]
+    rows += [
+        (f'frames_in{{kind="{escaped(kind.lower())}"}}', number)
+        for kind, number in sorted(members.figures.frames.items())
+    ]
+    rows += [
+        (f'frames_refused{{cause="{escaped(cause)}"}}', number)
+        for cause, number in sorted((members.figures.refused + refused).items())
+    ]
     if members.holding.figures.no_room:
         rows.append(("no_room", members.holding.figures.no_room))
     return "".join(f"relay_fleet_{name} {value:g}\n" for name, value in rows)
--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -103,8 +103,13 @@
             raise Rejected(f"'{name}' is missing")
     key = values.get("k")
     return Request(
-        _header_word(_text(words[2], 200, "id"), "id"), values["c"], _whole_number(values["dest"], "dest"),
-        None if key is None else _header_word(key, "k"), _whole_number(values["d"], "d"), words[4])
+        _header_word(_text(words[2], 200, "id"), "id"),
+        values["c"],
+        _whole_number(values["dest"], "dest"),
+        None if key is None else _header_word(key, "k"),
+        _whole_number(values["d"], "d"),
+        words[4],
+    )
 
 
 def _text(word: bytes, most: int, what: str) -> str:
@@ -175,8 +180,13 @@
     @property
     def can_pass(self) -> bool:
         """Whether another process can read on from here: no answer is owed or on its way."""
-        return (not self.closing and not self.replies and self.transport is not None
-                and not self.transport.is_closing() and not self.transport.get_write_buffer_size())
+        return (
+            not self.closing
+            and not self.replies
+            and self.transport is not None
+            and not self.transport.is_closing()
+            and not self.transport.get_write_buffer_size()
+        )
 
     @property
     def descriptor(self) -> int:
@@ -233,7 +243,7 @@
         for start in range(0, len(data), SLICE):
             if self.closing:
                 return  # shut out: what it still sends is read and thrown away
-            self._take(data[start:start + SLICE])
+            self._take(data[start : start + SLICE])
         if self.server.draining and not self.closing:
             self.close_between_requests()
 
@@ -264,7 +274,7 @@
         written = hiredis.pack_command(tuple(words))
         if not self.raw.startswith(written):
             raise Rejected("a length is wrong")
-        del self.raw[:len(written)]
+        del self.raw[: len(written)]
         self._stop_timer()
         self.asked = True
         self.server.busy(self)
@@ -292,8 +302,7 @@
         others that wait to be accepted, that is more than there is room for behind the deadline."""
         if self.transport is None:
             return 0
-        info = self.transport.get_extra_info("socket").getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA.size)
+        info = self.transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA.size)
         return int(LAST_DATA.unpack(info)[0])
 
     def send_ready(self) -> None:
@@ -419,13 +428,15 @@
         """Listen; the address that came of it. ``shared``: another process may listen there too."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: Connection(self), host, port, backlog=ACCEPTED_AT_ONCE, reuse_port=shared or None)
+            lambda: Connection(self), host, port, backlog=ACCEPTED_AT_ONCE, reuse_port=shared or None
+        )
         return self._listening()
 
     async def listen(self, found: socket.socket) -> tuple[str, int]:
         """The same on a listener that is there."""
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: Connection(self), sock=found, backlog=ACCEPTED_AT_ONCE)
+            lambda: Connection(self), sock=found, backlog=ACCEPTED_AT_ONCE
+        )
         return self._listening()
 
     async def stop_listening(self) -> socket.socket:
@@ -550,8 +561,10 @@
     @property
     def counts(self) -> str:
         """Who holds the descriptors, for the log."""
-        return (f"{len(self.connections)}, of them {len(self.idle)} idle, {len(self.silent)} have never "
-                f"asked, {len(self.lingering)} are shut out")
+        return (
+            f"{len(self.connections)}, of them {len(self.idle)} idle, {len(self.silent)} have never "
+            f"asked, {len(self.lingering)} are shut out"
+        )
 
     def busy(self, connection: Connection) -> None:
         """It does not make room for another."""
--- a/garnetrelay/laboratory/hostile.py
+++ b/garnetrelay/laboratory/hostile.py
@@ -68,7 +68,7 @@
     def shortened() -> bytes:
         """Its end is missing."""
         data = good()
-        return data[:draw.randrange(len(data))]
+        return data[: draw.randrange(len(data))]
 
     def damaged() -> bytes:
         """A byte is another."""
@@ -96,10 +96,18 @@
         ("out of bounds, signed", beyond),
         ("an exchange's frame", lambda: codec.encode(fr.Hello(sender=stranger, sequence=1, number=1), 2)),
         ("a thousand names", lambda: many),
-        ("a stranger", lambda: codec.encode(fr.Ping(
-            sender=stranger, sequence=draw.randrange(1 << 40), number=draw.randrange(1 << 40)), 2)),
-        ("an answer to nothing", lambda: codec.encode(fr.Ack(
-            sender=stranger, sequence=draw.randrange(1 << 40), number=draw.randrange(1 << 40)), 2)),
+        (
+            "a stranger",
+            lambda: codec.encode(
+                fr.Ping(sender=stranger, sequence=draw.randrange(1 << 40), number=draw.randrange(1 << 40)), 2
+            ),
+        ),
+        (
+            "an answer to nothing",
+            lambda: codec.encode(
+                fr.Ack(sender=stranger, sequence=draw.randrange(1 << 40), number=draw.randrange(1 << 40)), 2
+            ),
+        ),
     )
     while True:
         for name, make in kinds:
--- a/garnetrelay/laboratory/links.py
+++ b/garnetrelay/laboratory/links.py
@@ -63,7 +63,7 @@
         for _ in range(copies):
             if fate.damage and draw.random() < fate.damage:
                 place = draw.randrange(len(data))
-                data = data[:place] + bytes([data[place] ^ draw.randint(1, 255)]) + data[place + 1:]
+                data = data[:place] + bytes([data[place] ^ draw.randint(1, 255)]) + data[place + 1 :]
             arrived.append(((fate.delay_ms + fate.jitter_ms * draw.random()) / 1000, data))
         return arrived
 
@@ -87,5 +87,4 @@
     first, second = frozenset(ones), frozenset(others)
     if one_way:
         return lambda sender, receiver: sender in first and receiver in second
-    return lambda sender, receiver: (
-        sender in first and receiver in second or sender in second and receiver in first)
+    return lambda sender, receiver: (sender in first and receiver in second or sender in second and receiver in first)
--- a/garnetrelay/laboratory/schedules.py
+++ b/garnetrelay/laboratory/schedules.py
@@ -20,8 +20,22 @@
 from garnetrelay.laboratory.links import Fate, between
 from garnetrelay.laboratory.world import Node, Starved, World
 
-Step = Literal["start", "start anew", "start from", "kill", "leave", "stop", "go on", "starve", "feed", "cut",
-               "cut one way", "mend", "clock ahead", "turn up"]
+Step = Literal[
+    "start",
+    "start anew",
+    "start from",
+    "kill",
+    "leave",
+    "stop",
+    "go on",
+    "starve",
+    "feed",
+    "cut",
+    "cut one way",
+    "mend",
+    "clock ahead",
+    "turn up",
+]
 
 
 class Event(msgspec.Struct, forbid_unknown_fields=True, frozen=True, omit_defaults=True):
@@ -100,7 +114,8 @@
                 if held is not None and held.claim.identity <= identity:
                     self._say(node, f"{name} life {identity.life} is back in its view")
         if members.condition is Condition.SETTLED and (
-                members.holding.suspects or not members.joined or not members.own.named):
+            members.holding.suspects or not members.joined or not members.own.named
+        ):
             self._say(node, "it is settled, and has reason to doubt")
 
         if members.condition is not Condition.ALONE:
@@ -113,11 +128,18 @@
             self.problems.append(f"{self._world.now / SECOND:.3f} s {node.name}: {text}")
 
 
-def play(schedule: Schedule, settings: Settings | None = None,
-         prepare: Callable[[World], None] = lambda world: None) -> Outcome:
+def play(
+    schedule: Schedule, settings: Settings | None = None, prepare: Callable[[World], None] = lambda world: None
+) -> Outcome:
     """The outcome. The first twenty seconds are for coming to one view; ``at_ms`` counts from then."""
-    world = World(schedule.members, settings or Settings(), f"{schedule.kind}/{schedule.seed}", schedule.base,
-                  schedule.seeds, versions=lambda number: 1 if f"n{number}" in schedule.old_frames else 2)
+    world = World(
+        schedule.members,
+        settings or Settings(),
+        f"{schedule.kind}/{schedule.seed}",
+        schedule.base,
+        schedule.seeds,
+        versions=lambda number: 1 if f"n{number}" in schedule.old_frames else 2,
+    )
     for name in schedule.old_secret:
         world.nodes[name].old_secret = True
     watch = Watch(world)
@@ -141,8 +163,12 @@
 
     settled = world.run(end, done)
     return Outcome(
-        (world.now - last) // MS if settled else None, (knows[0] - last) // MS if knows else None, len(world.failures),
-        sum(alive for *_, alive in world.failures), watch.problems)
+        (world.now - last) // MS if settled else None,
+        (knows[0] - last) // MS if knows else None,
+        len(world.failures),
+        sum(alive for *_, alive in world.failures),
+        watch.problems,
+    )
 
 
 def all_know(world: World) -> bool:
@@ -150,8 +176,11 @@
     there = {node.name: node.members.own.claim.identity for node in world.live() if node.members is not None}
 
     def knows(members: Members) -> bool:
-        return all(there.get(name) == member.claim.identity and member.claim.status is not Status.SUSPECT
-                   for name, member in members.table.members.items())
+        return all(
+            there.get(name) == member.claim.identity and member.claim.status is not Status.SUSPECT
+            for name, member in members.table.members.items()
+        )
+
     return all(node.members is not None and knows(node.members) for node in world.live())
 
 
@@ -191,6 +220,7 @@
 
 # ---- kinds
 
+
 def _names(count: int) -> list[str]:
     return [f"n{number}" for number in range(1, count + 1)]
 
@@ -223,8 +253,14 @@
     """Two halves for 40 s, and a kill and a new life in each meanwhile."""
     some, rest = _part(draw, names, 0.5)
     first, second = draw.choice(some), draw.choice(rest)
-    return [Event(0, "cut", some, rest), Event(5000, "kill", [first]), Event(7000, "kill", [second]),
-            Event(20_000, "start", [first]), Event(22_000, "start", [second]), Event(40_000, "mend")]
+    return [
+        Event(0, "cut", some, rest),
+        Event(5000, "kill", [first]),
+        Event(7000, "kill", [second]),
+        Event(20_000, "start", [first]),
+        Event(22_000, "start", [second]),
+        Event(40_000, "mend"),
+    ]
 
 
 def _one_way(draw: random.Random, names: list[str]) -> list[Event]:
@@ -242,8 +278,11 @@
 def _flapping(draw: random.Random, names: list[str]) -> list[Event]:
     """The links of a few go and come, 500 ms each, for 20 s."""
     some, rest = _part(draw, names, 0.2)
-    return [event for begins in range(0, 20_000, 1000)
-            for event in (Event(begins, "cut", some, rest), Event(begins + 500, "mend"))]
+    return [
+        event
+        for begins in range(0, 20_000, 1000)
+        for event in (Event(begins, "cut", some, rest), Event(begins + 500, "mend"))
+    ]
 
 
 def _stopped(draw: random.Random, names: list[str]) -> list[Event]:
@@ -267,15 +306,25 @@
 def _lost_folder(draw: random.Random, names: list[str]) -> list[Event]:
     """Killed twice, so that the others know a later life; then it comes without its folder."""
     one = draw.choice(names)
-    return [Event(0, "kill", [one]), Event(500, "start", [one]), Event(5000, "kill", [one]),
-            Event(5500, "start anew", [one])]
+    return [
+        Event(0, "kill", [one]),
+        Event(500, "start", [one]),
+        Event(5000, "kill", [one]),
+        Event(5500, "start anew", [one]),
+    ]
 
 
 def _old_folder(draw: random.Random, names: list[str]) -> list[Event]:
     """Restored from a copy of before its last lives."""
     one = draw.choice(names)
-    return [Event(0, "kill", [one]), Event(500, "start", [one]), Event(4000, "kill", [one]), Event(4500, "start", [one]),
-            Event(9000, "kill", [one]), Event(9500, "start from", [one], number=1)]
+    return [
+        Event(0, "kill", [one]),
+        Event(500, "start", [one]),
+        Event(4000, "kill", [one]),
+        Event(4500, "start", [one]),
+        Event(9000, "kill", [one]),
+        Event(9500, "start from", [one], number=1),
+    ]
 
 
 def _clock(draw: random.Random, names: list[str]) -> list[Event]:
@@ -288,7 +337,8 @@
     """A third leaves, and comes back."""
     some, _ = _part(draw, names, 0.34)
     return [Event(draw.randrange(1000), "leave", [name]) for name in some] + [
-        Event(5000 + draw.randrange(1000), "start", [name]) for name in some]
+        Event(5000 + draw.randrange(1000), "start", [name]) for name in some
+    ]
 
 
 def _seeds_die(draw: random.Random, names: list[str]) -> list[Event]:
@@ -301,14 +351,27 @@
     """Half sign with the secret of before; they turn to the new one at moments of their own, one is killed meanwhile."""
     one = draw.choice(names)
     return [Event(0, "kill", [one]), Event(2000, "start", [one])] + [
-        Event(draw.randrange(20_000), "turn up", [name]) for name in names[::2]]
+        Event(draw.randrange(20_000), "turn up", [name]) for name in names[::2]
+    ]
 
 
 KINDS: dict[str, Callable[[random.Random, list[str]], list[Event]]] = {
-    "seven in ten killed": _seven_in_ten, "a third cut for 6 s": _third_cut, "a third cut for a minute": _third_cut_long,
-    "halves": _halves, "one way": _one_way, "a pair apart": _pair, "flapping": _flapping, "stopped for 5 s": _stopped,
-    "starved": _starved, "one alone": _alone, "lost folder": _lost_folder, "old folder": _old_folder,
-    "clock ahead": _clock, "leaving": _leaving, "seeds die": _seeds_die, "new secret": _new_secret,
+    "seven in ten killed": _seven_in_ten,
+    "a third cut for 6 s": _third_cut,
+    "a third cut for a minute": _third_cut_long,
+    "halves": _halves,
+    "one way": _one_way,
+    "a pair apart": _pair,
+    "flapping": _flapping,
+    "stopped for 5 s": _stopped,
+    "starved": _starved,
+    "one alone": _alone,
+    "lost folder": _lost_folder,
+    "old folder": _old_folder,
+    "clock ahead": _clock,
+    "leaving": _leaving,
+    "seeds die": _seeds_die,
+    "new secret": _new_secret,
 }
 
 
@@ -317,8 +380,20 @@
     draw, names = random.Random(f"{kind}/{seed}/{members}"), _names(members)
     events = sorted(KINDS[kind](draw, names), key=lambda event: event.at_ms)
     if base is None:
-        base = Fate(loss=draw.choice((0.0, 0.02, 0.05)), burst=draw.choice((1.0, 3.0)), delay_ms=draw.choice((0.0, 20.0)),
-                    jitter_ms=draw.choice((2.0, 60.0)), doubles=draw.choice((0.0, 0.02)),
-                    damage=draw.choice((0.0, 0.002)))
-    return Schedule(kind, seed, members, events, base, old_frames=names[1::2] if seed % 2 else [],
-                    old_secret=names[::2] if kind == "new secret" else [])
+        base = Fate(
+            loss=draw.choice((0.0, 0.02, 0.05)),
+            burst=draw.choice((1.0, 3.0)),
+            delay_ms=draw.choice((0.0, 20.0)),
+            jitter_ms=draw.choice((2.0, 60.0)),
+            doubles=draw.choice((0.0, 0.02)),
+            damage=draw.choice((0.0, 0.002)),
+        )
+    return Schedule(
+        kind,
+        seed,
+        members,
+        events,
+        base,
+        old_frames=names[1::2] if seed % 2 else [],
+        old_secret=names[::2] if kind == "new secret" else [],
+    )
--- a/garnetrelay/laboratory/world.py
+++ b/garnetrelay/laboratory/world.py
@@ -68,14 +68,24 @@
 class World:
     """The fleet. Times in nanoseconds from its beginning."""
 
-    def __init__(self, count: int, settings: Settings, seed: object, base: Fate | None = None, seeds: int = 3,
-                 versions: Callable[[int], int] = lambda number: 2, keep_notes: bool = False) -> None:
+    def __init__(
+        self,
+        count: int,
+        settings: Settings,
+        seed: object,
+        base: Fate | None = None,
+        seeds: int = 3,
+        versions: Callable[[int], int] = lambda number: 2,
+        keep_notes: bool = False,
+    ) -> None:
         self.settings = settings
         self.now = 0
         self.links = Links(base or Fate(), seed)
         self.codec, self.old_codec = fr.Codec([SECRET, OLD_SECRET]), fr.Codec([OLD_SECRET, SECRET])
-        self.nodes = {f"n{number}": Node(f"n{number}", Place(f"10.0.{number >> 8}.{number & 255}", PORT))
-                      for number in range(1, count + 1)}
+        self.nodes = {
+            f"n{number}": Node(f"n{number}", Place(f"10.0.{number >> 8}.{number & 255}", PORT))
+            for number in range(1, count + 1)
+        }
         self.by_place = {node.place: node for node in self.nodes.values()}
         self.seeds = [node.place for node in itertools.islice(self.nodes.values(), seeds)]
         self.versions = versions
@@ -119,8 +129,17 @@
         node.life = (0 if lost_folder else node.life if folder is None else folder) + 1
         node.process = self._draw.getrandbits(32)
         settings = dataclasses.replace(self.settings, versions=self.versions(int(name[1:])))
-        claim = Claim(called or name, node.life, node.process, node.life, 0, Status.ALIVE, node.place.host,
-                      node.place.port, settings.versions)
+        claim = Claim(
+            called or name,
+            node.life,
+            node.process,
+            node.life,
+            0,
+            Status.ALIVE,
+            node.place.host,
+            node.place.port,
+            settings.versions,
+        )
         draw = random.Random(f"{self._seed}/{name}/{node.process}")
         node.members = Members(claim, settings, draw, self.now, self.seeds)
         node.started_at, node.stopped, node.waiting, node.woken_for = self.now, False, [], -1
@@ -168,7 +187,8 @@
         live = self.live()
         views = {node.members.view for node in live if node.members is not None}
         return len(views) == 1 and all(
-            node.members is not None and node.members.count == len(live) and node.members.own.named for node in live)
+            node.members is not None and node.members.count == len(live) and node.members.own.named for node in live
+        )
 
     # ---- what happens to a process
 
@@ -201,6 +221,7 @@
                 if node.members is not None and node.woken_for == due:
                     node.woken_for = -1
                     self._carry_out(node, node.members.tick(self.now + node.ahead))
+
             self._runs(node, process, ticks)
 
         self.at(due - node.ahead, tick)
@@ -259,6 +280,7 @@
                 self.refused[refused.cause] += 1
                 return
             self._carry_out(node, node.members.receive(self.now + node.ahead, frame, source))
+
         self._runs(node, node.process, hears)
 
     def _pass(self, first: Node, second: Node) -> int | None:
@@ -301,9 +323,12 @@
                     assert other.members is not None
                     _, effects = other.members.hear_whole(self.now + other.ahead, ours, whole.ask, asked_at)
                     self._carry_out(other, effects)
+
                 then(node, other, its, hear_ours)
                 self._carry_out(node, effects)
+
             then(other, node, process, hear)
+
         if other.members is not None:
             then(node, other, other.process, answer)
 
--- a/garnetrelay/membership/register.py
+++ b/garnetrelay/membership/register.py
@@ -121,8 +121,7 @@
 class Discovery:
     """Watches the list. ``on_news`` gets what comes, None when the watch ended or never came about."""
 
-    def __init__(self, address: Address, reader: Reader, index: int,
-                 on_news: Callable[[News | None], None]) -> None:
+    def __init__(self, address: Address, reader: Reader, index: int, on_news: Callable[[News | None], None]) -> None:
         self.address = address
         self.reader = reader
         self.index = index
@@ -177,8 +176,7 @@
         counts is a whole line."""
         http = h11.Connection(h11.CLIENT)
         target = f"/api/targets?follow=1&since={self.index}"
-        writer.write(http.send(h11.Request(
-            method="GET", target=target, headers=[("Host", str(self.address))])) or b"")
+        writer.write(http.send(h11.Request(method="GET", target=target, headers=[("Host", str(self.address))])) or b"")
         writer.write(http.send(h11.EndOfMessage()) or b"")
         loop, lines = asyncio.get_running_loop(), Lines()
         while True:
--- a/garnetrelay/operators/calls.py
+++ b/garnetrelay/operators/calls.py
@@ -58,7 +58,8 @@
         case ["OFFLINE" | "ONLINE" as word, *_]:
             raise Refused(f"{word} takes the name of one host")
         case ["FLEET", *rest] if rest in (["MEMBERS"], ["LEAVE"]) or (
-                len(rest) == 2 and rest[0] == "EXPLAIN" and NAME.fullmatch(rest[1])):
+            len(rest) == 2 and rest[0] == "EXPLAIN" and NAME.fullmatch(rest[1])
+        ):
             return b"+OK\n" + service.fleet(rest).encode("ascii", "replace") + b".\n"
         case ["FLEET", *_]:
             raise Refused("FLEET takes MEMBERS, EXPLAIN NAME or LEAVE")
--- a/garnetrelay/operators/figures.py
+++ b/garnetrelay/operators/figures.py
@@ -16,11 +16,18 @@
 
 def text(counts: Counts, attempts: int, in_flight: int, known: int, excluded: int) -> str:
     """All figures, a line each: messages, calls written whole to hosts, messages held, hosts."""
-    lines = [f'relay_{name}{{class="{escaped(klass)}"}} {count}'
-             for name, by_class in (("served", counts.served), ("refused", counts.refused), ("failed", counts.failed))
-             for klass, count in by_class.items()]
-    for name, value in (("attempts", attempts), ("in_flight", in_flight), ("hosts_known", known),
-                        ("hosts_excluded", excluded), ("reloads_ok", counts.reloads_ok),
-                        ("reloads_failed", counts.reloads_failed)):
+    lines = [
+        f'relay_{name}{{class="{escaped(klass)}"}} {count}'
+        for name, by_class in (("served", counts.served), ("refused", counts.refused), ("failed", counts.failed))
+        for klass, count in by_class.items()
+    ]
+    for name, value in (
+        ("attempts", attempts),
+        ("in_flight", in_flight),
+        ("hosts_known", known),
+        ("hosts_excluded", excluded),
+        ("reloads_ok", counts.reloads_ok),
+        ("reloads_failed", counts.reloads_failed),
+    ):
         lines.append(f"relay_{name} {value}")
     return "\n".join(lines) + "\n"
--- a/garnetrelay/operators/front.py
+++ b/garnetrelay/operators/front.py
@@ -37,7 +37,7 @@
     def data_received(self, data: bytes) -> None:
         if self.answered:
             return
-        self.line += data[:MOST_LINE + 1 - len(self.line)]
+        self.line += data[: MOST_LINE + 1 - len(self.line)]
         line, newline, _ = self.line.partition(b"\n")
         if newline:
             self.end(answer(self.front.service, bytes(line)))
@@ -80,7 +80,8 @@
     async def start(self, address: Address) -> int:
         """Listen; the port that came of it. OSError where that can't be."""
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: Caller(self), address.host, address.port, backlog=16, reuse_port=True)
+            lambda: Caller(self), address.host, address.port, backlog=16, reuse_port=True
+        )
         return int(self._server.sockets[0].getsockname()[1])
 
     def took(self, caller: Caller) -> None:
--- a/garnetrelay/operators/service.py
+++ b/garnetrelay/operators/service.py
@@ -48,8 +48,7 @@
     def figures(self) -> str:
         relay = self.relay
         in_flight = sum(not message.over for message in relay.held.values()) + len(relay.recovering)
-        text = figures.text(relay.counts, relay.hosts.calls_written, in_flight, len(relay.listed),
-                            relay.pacer.avoided())
+        text = figures.text(relay.counts, relay.hosts.calls_written, in_flight, len(relay.listed), relay.pacer.avoided())
         return text if relay.fleet is None or relay.fleet.closed else text + relay.fleet.figures()
 
     def fleet(self, words: list[str]) -> str:
--- a/garnetrelay/platform/notices.py
+++ b/garnetrelay/platform/notices.py
@@ -109,14 +109,17 @@
             lines.append(line)
             self.out.append(ref)
         body = b"\n".join(lines) + b"\n"
-        self.link.post(b"POST /v1/notices HTTP/1.1\r\nHost: %s\r\nContent-Type: application/x-ndjson\r\n"
-                       b"Content-Length: %d\r\n\r\n" % (str(self.address).encode(), len(body)) + body)
+        self.link.post(
+            b"POST /v1/notices HTTP/1.1\r\nHost: %s\r\nContent-Type: application/x-ndjson\r\n"
+            b"Content-Length: %d\r\n\r\n" % (str(self.address).encode(), len(body)) + body
+        )
         self.timer = asyncio.get_running_loop().call_later(self.patience, self._overdue)
 
     async def _open(self) -> None:
         async with asyncio.timeout(OPEN_TIME):
             _, self.link = await asyncio.get_running_loop().create_connection(
-                lambda: Link(self), self.address.host, self.address.port)
+                lambda: Link(self), self.address.host, self.address.port
+            )
 
     def _opened(self, task: asyncio.Task[None]) -> None:
         if task.cancelled() or self.opening is not task:
--- a/garnetrelay/rehearsal/checker/__init__.py
+++ b/garnetrelay/rehearsal/checker/__init__.py
@@ -31,8 +31,14 @@
         self.ends = Ends(self.facts, self.docket)
         self._noters = self.facts.handlers
         self._takers: dict[type[ev.Observed], list[Callable[[Any], None]]] = {}
-        for room in (self.ends, Effects(self.facts, self.docket), Drains(self.facts, self.docket),
-                     Returns(self.facts, self.docket), Order(self.facts, self.docket), Waits(self.facts, self.docket)):
+        for room in (
+            self.ends,
+            Effects(self.facts, self.docket),
+            Drains(self.facts, self.docket),
+            Returns(self.facts, self.docket),
+            Order(self.facts, self.docket),
+            Waits(self.facts, self.docket),
+        ):
             for kind, taker in room.handlers.items():
                 self._takers.setdefault(kind, []).append(taker)
 
--- a/garnetrelay/rehearsal/checker/docket.py
+++ b/garnetrelay/rehearsal/checker/docket.py
@@ -62,8 +62,7 @@
             judge()
         self._waiting.clear()
 
-    def broken(self, rule: int, fault: str, subject: str, relay: str, at: int, text: str,
-               proof: list[ev.Event]) -> None:
+    def broken(self, rule: int, fault: str, subject: str, relay: str, at: int, text: str, proof: list[ev.Event]) -> None:
         """A rule is broken; the same of the same subject is told once."""
         if (rule, fault, subject) not in self._seen:
             self._seen.add((rule, fault, subject))
--- a/garnetrelay/rehearsal/checker/drains.py
+++ b/garnetrelay/rehearsal/checker/drains.py
@@ -18,8 +18,14 @@
 
     @property
     def handlers(self) -> Handlers:
-        return {ev.Told: self._told, ev.OutByHand: self._by_hand, ev.RelayEnded: self._ended,
-                ev.CallCame: self._sent, ev.ProbeCame: self._sent, ev.ConnectFailed: self._sent}
+        return {
+            ev.Told: self._told,
+            ev.OutByHand: self._by_hand,
+            ev.RelayEnded: self._ended,
+            ev.CallCame: self._sent,
+            ev.ProbeCame: self._sent,
+            ev.ConnectFailed: self._sent,
+        }
 
     def _told(self, event: ev.Told) -> None:
         if event.status == "Ready":
@@ -50,9 +56,18 @@
         end += self.facts.relay(came.relay).starved(told.at, came.at)
         if first > end:
             state = told.status if isinstance(told, ev.Told) else "out by hand"
-            what = f"sent {subject}" if isinstance(came, ev.CallCame) else (
-                "sent a probe" if isinstance(came, ev.ProbeCame) else "opened a connection")
+            what = (
+                f"sent {subject}"
+                if isinstance(came, ev.CallCame)
+                else ("sent a probe" if isinstance(came, ev.ProbeCame) else "opened a connection")
+            )
             self.docket.broken(
-                3, "sent-to-draining", subject, came.relay, came.at,
+                3,
+                "sent-to-draining",
+                subject,
+                came.relay,
+                came.at,
                 f"{came.relay} was told at {seconds(told.at)} that {came.route} is {state}, and {what} there "
-                f"at {seconds(first)} at the earliest", [told, came])
+                f"at {seconds(first)} at the earliest",
+                [told, came],
+            )
--- a/garnetrelay/rehearsal/checker/effects.py
+++ b/garnetrelay/rehearsal/checker/effects.py
@@ -18,8 +18,12 @@
 
     @property
     def handlers(self) -> Handlers:
-        return {ev.CallCame: self._came, ev.NoticeCame: self._refused, ev.Answered: self._refused,
-                ev.Effect: self._effect}
+        return {
+            ev.CallCame: self._came,
+            ev.NoticeCame: self._refused,
+            ev.Answered: self._refused,
+            ev.Effect: self._effect,
+        }
 
     def _came(self, event: ev.CallCame) -> None:
         message = self.facts.messages.get(event.ref)
@@ -42,35 +46,65 @@
         message = self.facts.messages.get(came.ref)
         if message is None:
             return
-        earlier = [other for hand_in in self.facts.lineages[message.handed.lineage] for other in hand_in.calls
-                   if other.came.call < came.call]
+        earlier = [
+            other
+            for hand_in in self.facts.lineages[message.handed.lineage]
+            for other in hand_in.calls
+            if other.came.call < came.call
+        ]
         for other in earlier:
             if other.over_since is None or other.over_since > came.at:
-                self._broken("two-at-once", f"{came.ref} came to {came.route} while an attempt at "
-                             f"{other.came.route} was out", [*other.proof(), came], came)
+                self._broken(
+                    "two-at-once",
+                    f"{came.ref} came to {came.route} while an attempt at " f"{other.came.route} was out",
+                    [*other.proof(), came],
+                    came,
+                )
         if len(message.calls) > self.facts.figures.most_tries and message.calls[-1] is call:
-            self._broken("too-many", f"{came.ref} was sent {len(message.calls)} times, "
-                         f"{self.facts.figures.most_tries} are allowed", [came], came)
+            self._broken(
+                "too-many",
+                f"{came.ref} was sent {len(message.calls)} times, " f"{self.facts.figures.most_tries} are allowed",
+                [came],
+                came,
+            )
         if message.refused:
-            self._broken("refused-yet-sent", f"{came.ref} was refused, and sent to {came.route}",
-                         [message.handed, *_answer(message), came], came)
+            self._broken(
+                "refused-yet-sent",
+                f"{came.ref} was refused, and sent to {came.route}",
+                [message.handed, *_answer(message), came],
+                came,
+            )
         may_have_run = [other for other in earlier if not other.never_ran]
         if not may_have_run:
             return
         first, klass = may_have_run[0], message.klass
         proof = [*first.proof(), came]
         if klass.repeat == "unsafe":
-            self._broken("sent-again", f"unsafe {came.ref} came to {came.route}, and the attempt that came to "
-                         f"{first.came.route} at {seconds(first.came.at)} may have run", proof, came)
+            self._broken(
+                "sent-again",
+                f"unsafe {came.ref} came to {came.route}, and the attempt that came to "
+                f"{first.came.route} at {seconds(first.came.at)} may have run",
+                proof,
+                came,
+            )
         elif klass.repeat == "keyed":
             if klass.by_zone and first.zone != call.zone:
-                self._broken("other-building", f"keyed {came.ref} came to {came.route} in {call.zone}, and the "
-                             f"attempt that came to {first.came.route} in {first.zone} may have run", proof, came)
+                self._broken(
+                    "other-building",
+                    f"keyed {came.ref} came to {came.route} in {call.zone}, and the "
+                    f"attempt that came to {first.came.route} in {first.zone} may have run",
+                    proof,
+                    came,
+                )
             elapsed = came.since - first.came.at
             if elapsed > klass.window + self.facts.figures.sockets_slack:
-                self._broken("after-window", f"keyed {came.ref} came to {came.route} {seconds(elapsed)} after an "
-                             f"attempt that may have run; the key is remembered {seconds(klass.window)}", proof,
-                             came)
+                self._broken(
+                    "after-window",
+                    f"keyed {came.ref} came to {came.route} {seconds(elapsed)} after an "
+                    f"attempt that may have run; the key is remembered {seconds(klass.window)}",
+                    proof,
+                    came,
+                )
 
     def _judge_refusal(self, message: Message, told: ev.NoticeCame | ev.Answered) -> None:
         if message.klass.repeat == "safe" or message.klass.repeat == "keyed" and not message.klass.by_zone:
@@ -79,9 +113,13 @@
             return  # its client had gone: what is told of it counts for nothing
         for call in message.calls:
             if call.came.since < told.at and not call.never_ran:
-                self._broken("refused-may-have-run", f"{told.ref} was refused, which says that coming again is "
-                             f"harmless; the attempt at {call.came.route} may have run",
-                             [*call.proof(), told], told)
+                self._broken(
+                    "refused-may-have-run",
+                    f"{told.ref} was refused, which says that coming again is "
+                    f"harmless; the attempt at {call.came.route} may have run",
+                    [*call.proof(), told],
+                    told,
+                )
                 return
 
     def _effect(self, effect: ev.Effect) -> None:
@@ -89,15 +127,24 @@
         message = self.facts.messages.get(effect.ref)
         if message is None or message.klass.repeat == "safe":
             return
-        before = [call.effect for hand_in in self.facts.lineages[message.handed.lineage] for call in hand_in.calls
-                  if call.effect is not None and call.effect is not effect]
+        before = [
+            call.effect
+            for hand_in in self.facts.lineages[message.handed.lineage]
+            for call in hand_in.calls
+            if call.effect is not None and call.effect is not effect
+        ]
         if before:
-            self._broken("effect-twice", f"{message.klass.repeat} {effect.ref} took effect at "
-                         f"{seconds(before[0].at)} and at {seconds(effect.at)}",
-                         [*before, effect], self.facts.calls[effect.call].came)
+            self._broken(
+                "effect-twice",
+                f"{message.klass.repeat} {effect.ref} took effect at "
+                f"{seconds(before[0].at)} and at {seconds(effect.at)}",
+                [*before, effect],
+                self.facts.calls[effect.call].came,
+            )
 
-    def _broken(self, fault: str, text: str, proof: list[ev.Event],
-                at: ev.CallCame | ev.NoticeCame | ev.Answered) -> None:
+    def _broken(
+        self, fault: str, text: str, proof: list[ev.Event], at: ev.CallCame | ev.NoticeCame | ev.Answered
+    ) -> None:
         self.docket.broken(2, fault, at.ref, at.relay, at.at, text, proof)
 
 
--- a/garnetrelay/rehearsal/checker/ends.py
+++ b/garnetrelay/rehearsal/checker/ends.py
@@ -23,8 +23,14 @@
 
     @property
     def handlers(self) -> Handlers:
-        return {ev.Answered: self._answered, ev.NoticeCame: self._notice, ev.CallCame: self._call,
-                ev.Unanswered: self._hung_up, ev.RelayEnded: self._relay_ended, ev.DiskUsed: self._disk_used}
+        return {
+            ev.Answered: self._answered,
+            ev.NoticeCame: self._notice,
+            ev.CallCame: self._call,
+            ev.Unanswered: self._hung_up,
+            ev.RelayEnded: self._relay_ended,
+            ev.DiskUsed: self._disk_used,
+        }
 
     def _answered(self, event: ev.Answered) -> None:
         message = self.facts.messages.get(event.ref)
@@ -33,19 +39,33 @@
 
     def _relay_ended(self, event: ev.RelayEnded) -> None:
         if not event.planned:
-            self.docket.broken(0, "crashed", event.relay, event.relay, event.at,
-                               f"{event.relay} ended by itself with status {event.status}", [event])
+            self.docket.broken(
+                0,
+                "crashed",
+                event.relay,
+                event.relay,
+                event.at,
+                f"{event.relay} ended by itself with status {event.status}",
+                [event],
+            )
 
     def _disk_used(self, event: ev.DiskUsed) -> None:
         most = self.facts.figures.disk_bytes
         if event.bytes > most:
-            self.docket.broken(0, "disk", event.relay, event.relay, event.at,
-                               f"{event.relay} keeps {event.bytes} bytes in its folder; {most} are allowed", [event])
+            self.docket.broken(
+                0,
+                "disk",
+                event.relay,
+                event.relay,
+                event.at,
+                f"{event.relay} keeps {event.bytes} bytes in its folder; {most} are allowed",
+                [event],
+            )
 
     def due(self, message: Message) -> int:
         """When its end is overdue, but for starvation and restarts."""
         figures = self.facts.figures
-        return (message.handed.at + message.handed.patience + figures.answer_slack + figures.sockets_slack)
+        return message.handed.at + message.handed.patience + figures.answer_slack + figures.sockets_slack
 
     def _excused_until(self, message: Message, due: int, by: int) -> int | None:
         """A later time at which its end is overdue, where a restart, the platform or the want of a core until
@@ -84,14 +104,26 @@
             for call in message.calls:
                 proof.extend(call.proof())
             self.docket.broken(
-                1, "lost", message.handed.ref, message.handed.relay, due,
+                1,
+                "lost",
+                message.handed.ref,
+                message.handed.relay,
+                due,
                 f"{message.handed.relay} took {message.handed.ref} on, and it was neither delivered nor ended by a "
-                f"notice by {seconds(due)}", proof)
+                f"notice by {seconds(due)}",
+                proof,
+            )
         elif excused is not None and first.since > excused:
             self.docket.broken(
-                1, "late", message.handed.ref, message.handed.relay, first.at,
+                1,
+                "late",
+                message.handed.ref,
+                message.handed.relay,
+                first.at,
                 f"the end of {message.handed.ref} was due from {message.handed.relay} by {seconds(due)} and came "
-                f"at {seconds(first.since)} at the earliest", [message.handed, *_answer(message), first])
+                f"at {seconds(first.since)} at the earliest",
+                [message.handed, *_answer(message), first],
+            )
 
     def _notice(self, notice: ev.NoticeCame) -> None:
         message = self.facts.messages.get(notice.ref)
@@ -100,15 +132,26 @@
         others = [other for other in message.notices if other.result != notice.result]
         if others:
             self.docket.broken(
-                1, "two-answers", notice.ref, notice.relay, notice.at,
+                1,
+                "two-answers",
+                notice.ref,
+                notice.relay,
+                notice.at,
                 f"{notice.ref} ended as {others[0].result} and then as {notice.result}",
-                [message.handed, others[0], notice])
+                [message.handed, others[0], notice],
+            )
         call = message.delivered
         if call is not None and call.answered is not None and self._surely_read(call, notice.since):
             self.docket.broken(
-                1, "two-answers", notice.ref, notice.relay, notice.at,
+                1,
+                "two-answers",
+                notice.ref,
+                notice.relay,
+                notice.at,
                 f"{notice.ref} was delivered at {seconds(call.answered.at)} and ended as {notice.result} all the "
-                f"same", [message.handed, *call.proof(), notice])
+                f"same",
+                [message.handed, *call.proof(), notice],
+            )
 
     def _surely_read(self, call: Call, by: int) -> bool:
         """Whether its relay must have read its answer by then, in the life that sent it."""
@@ -124,20 +167,39 @@
     def _call(self, came: ev.CallCame) -> None:
         message = self.facts.messages.get(came.ref)
         if message is None:
-            self.docket.broken(1, "unknown", came.ref, came.relay, came.at,
-                               f"{came.relay} sent {came.ref} to {came.route}; no client handed that in", [came])
+            self.docket.broken(
+                1,
+                "unknown",
+                came.ref,
+                came.relay,
+                came.at,
+                f"{came.relay} sent {came.ref} to {came.route}; no client handed that in",
+                [came],
+            )
             return
         ended = [notice for notice in message.notices if notice.at < came.first]
         if ended:
             self.docket.broken(
-                1, "sent-after-end", came.ref, came.relay, came.at,
+                1,
+                "sent-after-end",
+                came.ref,
+                came.relay,
+                came.at,
                 f"{came.ref} ended as {ended[0].result} at {seconds(ended[0].at)} and was sent to {came.route} "
-                f"after that", [message.handed, ended[0], came])
+                f"after that",
+                [message.handed, ended[0], came],
+            )
         for call in message.calls:
             if call.came is not came and call.delivered and self._surely_read(call, came.since):
                 self.docket.broken(
-                    1, "sent-after-end", came.ref, came.relay, came.at,
-                    f"{came.ref} was delivered and sent to {came.route} again", [*call.proof(), came])
+                    1,
+                    "sent-after-end",
+                    came.ref,
+                    came.relay,
+                    came.at,
+                    f"{came.ref} was delivered and sent to {came.route} again",
+                    [*call.proof(), came],
+                )
 
     def _hung_up(self, event: ev.Unanswered) -> None:
         message, relay = self.facts.messages.get(event.ref), self.facts.relay(event.relay)
@@ -145,8 +207,14 @@
             return
         if relay.signalled is None and relay.life == message.life:
             self.docket.broken(
-                1, "hung-up", event.ref, event.relay, event.at,
-                f"{event.relay} ended the connection of {event.ref} twice with no answer", [message.handed, event])
+                1,
+                "hung-up",
+                event.ref,
+                event.relay,
+                event.at,
+                f"{event.relay} ended the connection of {event.ref} twice with no answer",
+                [message.handed, event],
+            )
 
 
 def _answer(message: Message) -> list[ev.Event]:
--- a/garnetrelay/rehearsal/checker/facts.py
+++ b/garnetrelay/rehearsal/checker/facts.py
@@ -135,11 +135,21 @@
     @property
     def handlers(self) -> Handlers:
         return {
-            ev.World: self._world, ev.Starved: self._starved, ev.RelayStarted: self._started,
-            ev.RelayReady: self._ready, ev.RelaySignalled: self._signalled, ev.PlatformState: self._platform,
-            ev.HandedIn: self._handed_in, ev.Answered: self._answered, ev.Unanswered: self._unanswered,
-            ev.CallCame: self._came, ev.CallAnswered: self._call_answered, ev.CallEnded: self._call_ended,
-            ev.Effect: self._effect, ev.NoticeCame: self._notice}
+            ev.World: self._world,
+            ev.Starved: self._starved,
+            ev.RelayStarted: self._started,
+            ev.RelayReady: self._ready,
+            ev.RelaySignalled: self._signalled,
+            ev.PlatformState: self._platform,
+            ev.HandedIn: self._handed_in,
+            ev.Answered: self._answered,
+            ev.Unanswered: self._unanswered,
+            ev.CallCame: self._came,
+            ev.CallAnswered: self._call_answered,
+            ev.CallEnded: self._call_ended,
+            ev.Effect: self._effect,
+            ev.NoticeCame: self._notice,
+        }
 
     def _world(self, event: ev.World) -> None:
         self.routes.update({route.name: route for route in event.routes})
--- a/garnetrelay/rehearsal/checker/figures.py
+++ b/garnetrelay/rehearsal/checker/figures.py
@@ -48,7 +48,8 @@
                 by_zone=c.get("keyScope", "all") != "all",
                 window=int(c.get("repeatWindow", 0)),
                 in_turn=bool(c.get("inTurn", False)),
-            ) for c in settings["classes"]
+            )
+            for c in settings["classes"]
         },
         answer_slack=int(rules.get("answerSlack", 0)),
         drain_grace=int(rules["drainGrace"]),
--- a/garnetrelay/rehearsal/checker/order.py
+++ b/garnetrelay/rehearsal/checker/order.py
@@ -51,8 +51,12 @@
                 # A later one was out before this one came: it has overtaken.
                 for passed in other.calls:
                     if passed.came.at < came.first and message.taken:
-                        self._broken("overtaken", came, f"{came.ref} came to {came.route} after "
-                                     f"{other.handed.ref}, which its relay took later", [*passed.proof(), came])
+                        self._broken(
+                            "overtaken",
+                            came,
+                            f"{came.ref} came to {came.route} after " f"{other.handed.ref}, which its relay took later",
+                            [*passed.proof(), came],
+                        )
                         return
                 continue
             for attempt in other.calls:
@@ -62,16 +66,26 @@
         if attempt.came.call >= came.call:
             return
         if attempt.over_since is None or attempt.over_since > came.at:
-            self._broken("together", came, f"{came.ref} came to {came.route} while {attempt.came.ref} of the same "
-                         f"key was out at {attempt.came.route}", [*attempt.proof(), came])
+            self._broken(
+                "together",
+                came,
+                f"{came.ref} came to {came.route} while {attempt.came.ref} of the same "
+                f"key was out at {attempt.came.route}",
+                [*attempt.proof(), came],
+            )
         elif attempt.answered is None and attempt.ended is not None:
             rested = came.at - attempt.ended.since
             # A relay counts from its verdict; the close that goes with it leaves in the next round of its loop.
             late = self.facts.relay(came.relay).starved(attempt.ended.since - SECOND, came.at)
             if rested < self.facts.figures.turn_gap - self.facts.figures.sockets_slack - late:
-                self._broken("no-rest", came, f"{came.ref} came to {came.route} {seconds(rested)} after an attempt "
-                             f"for {attempt.came.ref} of the same key ended without an answer; the key rests "
-                             f"{seconds(self.facts.figures.turn_gap)}", [*attempt.proof(), came])
+                self._broken(
+                    "no-rest",
+                    came,
+                    f"{came.ref} came to {came.route} {seconds(rested)} after an attempt "
+                    f"for {attempt.came.ref} of the same key ended without an answer; the key rests "
+                    f"{seconds(self.facts.figures.turn_gap)}",
+                    [*attempt.proof(), came],
+                )
 
     def _taken_before(self, one: Message, other: Message) -> bool:
         return one.answer is not None and one.taken and one.answer.at < other.handed.at
--- a/garnetrelay/rehearsal/checker/returns.py
+++ b/garnetrelay/rehearsal/checker/returns.py
@@ -55,9 +55,15 @@
 
     @property
     def handlers(self) -> Handlers:
-        return {ev.OutageBegan: self._began, ev.OutageOver: self._over, ev.CallCame: self._came,
-                ev.ProbeCame: self._probed, ev.ConnectFailed: self._turned_away, ev.CallAnswered: self._answered,
-                ev.CallEnded: self._ended}
+        return {
+            ev.OutageBegan: self._began,
+            ev.OutageOver: self._over,
+            ev.CallCame: self._came,
+            ev.ProbeCame: self._probed,
+            ev.ConnectFailed: self._turned_away,
+            ev.CallAnswered: self._answered,
+            ev.CallEnded: self._ended,
+        }
 
     def _began(self, event: ev.OutageBegan) -> None:
         self.scopes[event.scope] = Scope(event)
@@ -112,9 +118,18 @@
             return
         relays = sorted({key[0] for _, key in knew})
         self.docket.broken(
-            4, "pushed-over", name, ", ".join(relays), came.at,
+            4,
+            "pushed-over",
+            name,
+            ", ".join(relays),
+            came.at,
             f"{name} came back at {seconds(over.at)} and takes {capacity(over, came.at):.1f} calls a second; "
             f"{len(scope.came)} came within {seconds(figures.fall)}, {len(knew)} of them from "
             f"{' and '.join(relays)}, which had seen it fail",
-            [scope.began, over, *(scope.saw[key] for key in dict.fromkeys(key for _, key in knew)),
-             *(event for event, _ in scope.came)])
+            [
+                scope.began,
+                over,
+                *(scope.saw[key] for key in dict.fromkeys(key for _, key in knew)),
+                *(event for event, _ in scope.came),
+            ],
+        )
--- a/garnetrelay/rehearsal/checker/waits.py
+++ b/garnetrelay/rehearsal/checker/waits.py
@@ -32,8 +32,12 @@
 
     @property
     def handlers(self) -> Handlers:
-        return {ev.CallAnswered: self._answered, ev.CallEnded: self._ended, ev.CallCame: self._sent,
-                ev.ProbeCame: self._sent}
+        return {
+            ev.CallAnswered: self._answered,
+            ev.CallEnded: self._ended,
+            ev.CallCame: self._sent,
+            ev.ProbeCame: self._sent,
+        }
 
     def _answered(self, event: ev.CallAnswered) -> None:
         call = self.facts.calls.get(event.call)
@@ -73,6 +77,12 @@
         told = wait.answered
         subject = came.ref if isinstance(came, ev.CallCame) else came.route
         self.docket.broken(
-            6, "sent-in-wait", subject, came.relay, came.at,
+            6,
+            "sent-in-wait",
+            subject,
+            came.relay,
+            came.at,
             f"{came.relay} was told at {seconds(told.at)} by {wait.came.route} to wait {seconds(told.wait)}, and "
-            f"sent {subject} to {came.route} {seconds(came.first - told.at)} after that", [wait.came, told, came])
+            f"sent {subject} to {came.route} {seconds(came.first - told.at)} after that",
+            [wait.came, told, came],
+        )
--- a/garnetrelay/rehearsal/clients.py
+++ b/garnetrelay/rehearsal/clients.py
@@ -148,11 +148,21 @@
             lineage = f"L{self._next}.0"
             key = arrival.key or f"key-{self.plan.seed}-{self._next}"
             self._next += 1
-            self.hand_in(Try(lineage, klass.name, klass.repeat, arrival.dest, key,
-                             now + int(klass.deadline_ms * MS), self.scenario.clients.retries))
+            self.hand_in(
+                Try(
+                    lineage,
+                    klass.name,
+                    klass.repeat,
+                    arrival.dest,
+                    key,
+                    now + int(klass.deadline_ms * MS),
+                    self.scenario.clients.retries,
+                )
+            )
         if self._next < len(arrivals):
             asyncio.get_running_loop().call_at(
-                self.observer.clock.loop_time(self.began + arrivals[self._next].at), self._play)
+                self.observer.clock.loop_time(self.began + arrivals[self._next].at), self._play
+            )
         else:
             self.done.set()
 
@@ -186,7 +196,8 @@
         try:
             async with asyncio.timeout(self.patience):
                 _, link = await asyncio.get_running_loop().create_connection(
-                    lambda: Link(self, relay), "127.0.0.1", self.port_of(relay))
+                    lambda: Link(self, relay), "127.0.0.1", self.port_of(relay)
+                )
         except (OSError, TimeoutError):
             # It has not got the message: coming again cannot do it twice, unless it was sent before.
             if message.again:
@@ -204,11 +215,27 @@
             self.rest(link)
             return
         body = b"%s|%s|%s" % (message.lineage.encode(), message.klass.encode(), self._body)
-        words: Any = ("ENQUEUE", "0000", message.ref,
-                      f"c={message.klass},d={left},dest={message.dest},k={message.key}", body)
+        words: Any = (
+            "ENQUEUE",
+            "0000",
+            message.ref,
+            f"c={message.klass},d={left},dest={message.dest},k={message.key}",
+            body,
+        )
         if not message.again:
-            self.observer.see(ev.HandedIn(at, since, link.relay, message.ref, message.lineage, message.klass,
-                                          message.dest, message.key, left * MS))
+            self.observer.see(
+                ev.HandedIn(
+                    at,
+                    since,
+                    link.relay,
+                    message.ref,
+                    message.lineage,
+                    message.klass,
+                    message.dest,
+                    message.key,
+                    left * MS,
+                )
+            )
         link.send(message, hiredis.pack_command(words))
 
     # ---- answers
--- a/garnetrelay/rehearsal/conductor.py
+++ b/garnetrelay/rehearsal/conductor.py
@@ -53,8 +53,16 @@
 class Conductor:
     """One run. ``command`` starts a relay in place of the installed daemon; ``folder`` keeps logs and states."""
 
-    def __init__(self, scenario: Scenario, plan: Plan, clock: Clock, folder: Path, command: str | None = None,
-                 recording: Path | None = None, on_verdict: Callable[[Verdict], None] | None = None) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        plan: Plan,
+        clock: Clock,
+        folder: Path,
+        command: str | None = None,
+        recording: Path | None = None,
+        on_verdict: Callable[[Verdict], None] | None = None,
+    ) -> None:
         self.scenario = scenario
         self.plan = plan
         figures = figures_of(plan.settings, int(plan.limits["disk_mb"] * 1_000_000))
@@ -74,8 +82,13 @@
         self._error: BaseException | None = None
         self.stage: Stage | None = None
         if scenario.fleet is not None:
-            self.stage = Stage(scenario.fleet, plan.relays, plan.seed, plan.length / SECOND / scenario.seconds,
-                               [step.at for step in plan.steps if step.spec.what == "upgrade"])
+            self.stage = Stage(
+                scenario.fleet,
+                plan.relays,
+                plan.seed,
+                plan.length / SECOND / scenario.seconds,
+                [step.at for step in plan.steps if step.spec.what == "upgrade"],
+            )
         self.began = 0  # when the plan began, by the run's clock
 
     async def play(self) -> Outcome:
@@ -106,8 +119,14 @@
             await self._ends()
             at, since = self.observer.did()
             self.observer.see(ev.RunEnded(at, since))
-            return Outcome(self.plan, self.checker.verdicts, self.tally, self.rude, at,
-                           [] if self.stage is None else self.stage.met())
+            return Outcome(
+                self.plan,
+                self.checker.verdicts,
+                self.tally,
+                self.rude,
+                at,
+                [] if self.stage is None else self.stage.met(),
+            )
         finally:
             for task in (*self._tasks, *self._looking):
                 task.cancel()
@@ -220,8 +239,7 @@
 
     def _then(self, step: Step, what: Callable[..., Any], *arguments: Any) -> None:
         """At the step's end."""
-        asyncio.get_running_loop().call_at(
-            self._loop_time(max(step.ends, step.at)), lambda: what(*arguments))
+        asyncio.get_running_loop().call_at(self._loop_time(max(step.ends, step.at)), lambda: what(*arguments))
 
     def _heal(self, step: Step) -> None:
         ramp = self.plan.settings["rules"]["rampTime"]
@@ -265,6 +283,7 @@
             self._spawn(self._pulses(move, lambda: stage.cut(move), lambda: stage.mend(move)))
         elif move.what in ("stop", "starve"):
             relays = [self.relays[name] for name in move.relays]
+
             def stop() -> None:
                 for relay in relays:
                     if relay.ready:
@@ -273,6 +292,7 @@
             def go_on() -> None:
                 for relay in relays:
                     relay.go_on()
+
             self._spawn(self._pulses(move, stop, go_on))
         else:
             self._spawn(self._away(stage, move))
@@ -294,8 +314,12 @@
     async def _away(self, stage: Stage, move: Move) -> None:
         """A relay ends, and is back later: with its folder, but for its life number where the move says so."""
         relay = self.relays[move.relays[0]]
-        await self._down(relay, move.what != "leave", (move.ends - move.at) / SECOND,
-                         lambda: stage.change_life(relay.name, relay.state, move.what))
+        await self._down(
+            relay,
+            move.what != "leave",
+            (move.ends - move.at) / SECOND,
+            lambda: stage.change_life(relay.name, relay.state, move.what),
+        )
 
     async def _restart(self, step: Step) -> None:
         named = [step.relay] if step.relay else list(self.relays)
@@ -304,8 +328,9 @@
     async def _restart_one(self, relay: RelayProcess, step: Step) -> None:
         await self._down(relay, step.spec.what == "kill", step.spec.down_s)
 
-    async def _down(self, relay: RelayProcess, kill: bool, seconds: float,
-                    change: Callable[[], None] = lambda: None) -> None:
+    async def _down(
+        self, relay: RelayProcess, kill: bool, seconds: float, change: Callable[[], None] = lambda: None
+    ) -> None:
         """A relay ends and starts again. ``change``: what happens to its folder meanwhile."""
         if not relay.ready:
             return
@@ -368,9 +393,15 @@
         self.partners.close(route)
 
 
-def play(scenario: Scenario, plan: Plan, folder: Path | None = None, command: str | None = None,
-         recording: Path | None = None, on_verdict: Callable[[Verdict], None] | None = None,
-         beside: Callable[[Conductor], Coroutine[Any, Any, None]] | None = None) -> Outcome:
+def play(
+    scenario: Scenario,
+    plan: Plan,
+    folder: Path | None = None,
+    command: str | None = None,
+    recording: Path | None = None,
+    on_verdict: Callable[[Verdict], None] | None = None,
+    beside: Callable[[Conductor], Coroutine[Any, Any, None]] | None = None,
+) -> Outcome:
     """Play a plan on a loop of its own. ``beside`` runs along with it: the live view."""
     clock = Clock()
 
--- a/garnetrelay/rehearsal/events.py
+++ b/garnetrelay/rehearsal/events.py
@@ -237,9 +237,33 @@
 
 
 Event = (
-    World | RelayStarted | RelayReady | RelaySignalled | RelayEnded | RelayPassed | OutByHand | Starved | DiskUsed
-    | HandedIn | Answered | Unanswered | CallCame | CallAnswered | CallEnded | Effect | ProbeCame | ConnectFailed
-    | NoticeCame | PlatformState | Told | OutageBegan | OutageOver | FellOver | Step | RunEnded)
+    World
+    | RelayStarted
+    | RelayReady
+    | RelaySignalled
+    | RelayEnded
+    | RelayPassed
+    | OutByHand
+    | Starved
+    | DiskUsed
+    | HandedIn
+    | Answered
+    | Unanswered
+    | CallCame
+    | CallAnswered
+    | CallEnded
+    | Effect
+    | ProbeCame
+    | ConnectFailed
+    | NoticeCame
+    | PlatformState
+    | Told
+    | OutageBegan
+    | OutageOver
+    | FellOver
+    | Step
+    | RunEnded
+)
 
 
 def scope_of(route: Route) -> str:
--- a/garnetrelay/rehearsal/http.py
+++ b/garnetrelay/rehearsal/http.py
@@ -15,8 +15,17 @@
 from garnetrelay.rehearsal.clock import ROUNDS, Clock
 
 MOST_BODY = 1 << 20
-REASONS = {200: "OK", 204: "No Content", 400: "Bad Request", 404: "Not Found", 410: "Gone", 429: "Too Many Requests",
-           500: "Internal Server Error", 503: "Service Unavailable", 504: "Gateway Timeout"}
+REASONS = {
+    200: "OK",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    410: "Gone",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 _heads = {status: f"HTTP/1.1 {status} {reason}\r\n".encode() for status, reason in REASONS.items()}
 
 
@@ -25,8 +34,9 @@
 
     __slots__ = ("connection", "method", "target", "headers", "body", "first", "came", "number")
 
-    def __init__(self, connection: Connection, method: str, target: str, headers: dict[str, str],
-                 body: bytes, first: int) -> None:
+    def __init__(
+        self, connection: Connection, method: str, target: str, headers: dict[str, str], body: bytes, first: int
+    ) -> None:
         self.connection = connection
         self.method = method
         self.target = target
@@ -130,8 +140,14 @@
     def on_message_complete(self) -> None:
         assert self.parser is not None
         first = self.server.clock.since if self._first is None else self._first
-        call = Call(self, self.parser.get_method().decode(), self._target.decode("latin-1"), self._headers,
-                    b"".join(self._body), first)
+        call = Call(
+            self,
+            self.parser.get_method().decode(),
+            self._target.decode("latin-1"),
+            self._headers,
+            b"".join(self._body),
+            first,
+        )
         self._first, self._target, self._headers, self._body, self._size = None, b"", {}, [], 0
         self.last = call
         self.server.request(call)
@@ -150,7 +166,8 @@
 
     async def start(self, host: str = "127.0.0.1", port: int = 0, backlog: int = 512) -> None:
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: Connection(self), host, port, backlog=backlog)
+            lambda: Connection(self), host, port, backlog=backlog
+        )
         self.address = "%s:%d" % self._server.sockets[0].getsockname()[:2]
 
     def stop_listening(self) -> None:
--- a/garnetrelay/rehearsal/links/network.py
+++ b/garnetrelay/rehearsal/links/network.py
@@ -76,9 +76,13 @@
             found.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
             found.bind((self._host(1, name), self.port))
             loop.add_reader(found, self._readable, name, found)
-            self._servers.append(await asyncio.start_server(
-                lambda reader, writer, name=name: self._accepted(name, reader, writer),  # type: ignore[misc]
-                self._host(1, name), self.port))
+            self._servers.append(
+                await asyncio.start_server(
+                    lambda reader, writer, name=name: self._accepted(name, reader, writer),  # type: ignore[misc]
+                    self._host(1, name),
+                    self.port,
+                )
+            )
 
     def stop(self) -> None:
         loop = asyncio.get_running_loop()
@@ -141,7 +145,8 @@
             return
         try:
             far_reader, far_writer = await asyncio.open_connection(
-                self._host(2, receiver), self.port, local_addr=(self._host(1, sender), 0))
+                self._host(2, receiver), self.port, local_addr=(self._host(1, sender), 0)
+            )
         except OSError:
             writer.transport.abort()
             return
--- a/garnetrelay/rehearsal/links/script.py
+++ b/garnetrelay/rehearsal/links/script.py
@@ -17,10 +17,16 @@
 Share = Annotated[float, Meta(ge=0, le=1)]
 Amount = Annotated[float, Meta(ge=0, le=3600)]
 What = Literal[
-    "cut", "cut-one-way", "flap",  # links between some and the rest; one way: from the some
-    "stop", "starve",  # SIGSTOP and SIGCONT, once or in pulses
-    "kill", "lose-life", "old-life",  # SIGKILL; back with its folder, without its life number, with the first one
-    "kill-seeds", "leave",  # all seeds; SIGTERM
+    "cut",
+    "cut-one-way",
+    "flap",  # links between some and the rest; one way: from the some
+    "stop",
+    "starve",  # SIGSTOP and SIGCONT, once or in pulses
+    "kill",
+    "lose-life",
+    "old-life",  # SIGKILL; back with its folder, without its life number, with the first one
+    "kill-seeds",
+    "leave",  # all seeds; SIGTERM
 ]
 ENDLESS = ("kill", "lose-life", "old-life", "kill-seeds", "leave")  # their length is what they are away for
 
@@ -68,7 +74,7 @@
         at, length = int(step.at * stretch * SECOND), int(step.seconds * SECOND)
         some = tuple(sorted(draw.sample(relays, max(1, round(step.share * len(relays)))), key=relays.index))
         if step.what == "kill-seeds":
-            some = relays[:spec.seeds]
+            some = relays[: spec.seeds]
         if step.what in ENDLESS:
             for name in some:
                 shift = int(draw.uniform(0, step.within_s) * SECOND)
@@ -81,4 +87,5 @@
 def old_ones(share: float, relays: tuple[str, ...]) -> frozenset[str]:
     """Every so many-eth: the first is never among them, so that a fleet has both kinds."""
     return frozenset(
-        name for place, name in enumerate(relays) if place and int(place * share) != int((place - 1) * share))
+        name for place, name in enumerate(relays) if place and int(place * share) != int((place - 1) * share)
+    )
--- a/garnetrelay/rehearsal/links/stage.py
+++ b/garnetrelay/rehearsal/links/stage.py
@@ -44,8 +44,9 @@
 class Stage:
     """Links, options and looks."""
 
-    def __init__(self, spec: script.FleetSpec, relays: tuple[str, ...], seed: int, stretch: float,
-                 upgrades: Sequence[int] = ()) -> None:
+    def __init__(
+        self, spec: script.FleetSpec, relays: tuple[str, ...], seed: int, stretch: float, upgrades: Sequence[int] = ()
+    ) -> None:
         """``upgrades``: when relays are upgraded, from the schedule's start."""
         self.spec = spec
         self.names = relays
@@ -68,7 +69,8 @@
             f'[fleet]\nlisten = "{self.network.inner(name)}"\nadvertise = "{self.network.outer(name)}"\n'
             f"seeds = {json.dumps([self.network.outer(seed) for seed in self.names[:self.spec.seeds]])}\n"
             f'secret_file = "secret"\nprobe_every_ms = {self.spec.probe_every_ms}\n'
-            f"probe_timeout_ms = {self.spec.probe_timeout_ms}\nframes = {1 if name in self._old_frames else 2}\n")
+            f"probe_timeout_ms = {self.spec.probe_timeout_ms}\nframes = {1 if name in self._old_frames else 2}\n"
+        )
         return path
 
     def first_lives(self, folders: dict[str, Path]) -> None:
@@ -108,10 +110,17 @@
             states[name] = msgspec.json.decode(first, type=State)
             held[name] = [msgspec.json.decode(line, type=Line) for line in rest]
         lives = {name: state.life for name, state in states.items()}
-        wrong = sum(any(line.status in ("alive", "suspect") and lives.get(line.name) != line.life for line in lines)
-                    for lines in held.values())
-        found = Look(at(), len(states), sum(state.condition != "settled" for state in states.values()), wrong,
-                     len({(state.view, state.members == len(states)) for state in states.values()}))
+        wrong = sum(
+            any(line.status in ("alive", "suspect") and lives.get(line.name) != line.life for line in lines)
+            for lines in held.values()
+        )
+        found = Look(
+            at(),
+            len(states),
+            sum(state.condition != "settled" for state in states.values()),
+            wrong,
+            len({(state.view, state.members == len(states)) for state in states.values()}),
+        )
         if any(state.members != len(states) for state in states.values()):
             found.views = max(2, found.views)
         self.looks.append(found)
@@ -124,8 +133,15 @@
         spans: list[tuple[int, int, int, str, int]] = []  # begins, last beginning, ends, what, relays
         for number, step in enumerate(self.spec.steps):
             mine = [move for move in self.moves if move.number == number]
-            spans.append((mine[0].at, max(move.at for move in mine), max(move.ends for move in mine), step.what,
-                          sum(len(move.relays) for move in mine)))
+            spans.append(
+                (
+                    mine[0].at,
+                    max(move.at for move in mine),
+                    max(move.ends for move in mine),
+                    step.what,
+                    sum(len(move.relays) for move in mine),
+                )
+            )
         if self.upgrades:
             spans.append((min(self.upgrades), max(self.upgrades), max(self.upgrades), "upgrade", len(self.upgrades)))
         for begins, last, ends, what, relays in sorted(spans):
@@ -136,10 +152,14 @@
                 at = next((look.at for look in looks if look.at >= since and holds(look)), None)
                 return None if at is None else round((at - since) / script.SECOND, 2)
 
-            made.append(Met(
-                what, begins / script.SECOND, relays,
-                first(begins, lambda look: look.doubting > 0),
-                first(last, lambda look: not look.wrong),
-                first(ends, lambda look: look.views == 1 and not look.wrong)))
+            made.append(
+                Met(
+                    what,
+                    begins / script.SECOND,
+                    relays,
+                    first(begins, lambda look: look.doubting > 0),
+                    first(last, lambda look: not look.wrong),
+                    first(ends, lambda look: look.views == 1 and not look.wrong),
+                )
+            )
         return made
-
--- a/garnetrelay/rehearsal/observer.py
+++ b/garnetrelay/rehearsal/observer.py
@@ -18,8 +18,15 @@
 class Observer:
     """Takes events in the order in which they are observed. ``on_verdict`` hears of each verdict as it falls."""
 
-    def __init__(self, clock: Clock, checker: Checker, tally: Tally, recording: Path | None = None,
-                 header: ev.Header | None = None, on_verdict: Callable[[Verdict], None] | None = None) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        checker: Checker,
+        tally: Tally,
+        recording: Path | None = None,
+        header: ev.Header | None = None,
+        on_verdict: Callable[[Verdict], None] | None = None,
+    ) -> None:
         self.clock = clock
         self.checker = checker
         self.tally = tally
--- a/garnetrelay/rehearsal/partners/endpoints.py
+++ b/garnetrelay/rehearsal/partners/endpoints.py
@@ -15,8 +15,13 @@
 
 SECOND = 1_000_000_000
 SOON = SECOND  # a connection that ends so soon after an answer may not have carried it
-ABSURD = ("X-Server-Load: x0=-7,x1=1e300", "X-Server-Load: x0=nan,x1=nan", "X-Server-Load: " + "9" * 400,
-          "X-Server-Load: x0=0.0001,x1=0.0001", "X-Server-Load: ;;;")
+ABSURD = (
+    "X-Server-Load: x0=-7,x1=1e300",
+    "X-Server-Load: x0=nan,x1=nan",
+    "X-Server-Load: " + "9" * 400,
+    "X-Server-Load: x0=0.0001,x1=0.0001",
+    "X-Server-Load: ;;;",
+)
 
 
 class Door(HttpServer):
@@ -167,16 +172,19 @@
         self.on_delivered = on_delivered
         rules = plan.settings["rules"]
         self.partners = {
-            partner.number: Partner(partner, plan.seed, rules["fall"], rules["fallMultiple"])
-            for partner in plan.partners}
+            partner.number: Partner(partner, plan.seed, rules["fall"], rules["fallMultiple"]) for partner in plan.partners
+        }
         self.doors: dict[str, dict[str, Door]] = {}  # by route and relay
         self.numbers = itertools.count(1)
         self.absurd: set[int] = set()
         self.out: set[str] = set()  # scopes in an outage
         self.answered_at: dict[int, int] = {}  # of the calls answered last
         self.remembered: dict[tuple[int, str, str], int] = {}  # keys, by partner and building
-        self.windows = {c["name"]: (c["repeatWindow"], c["keyScope"] == "zone")
-                        for c in plan.settings["classes"] if c["idempotency"] == "dedup"}
+        self.windows = {
+            c["name"]: (c["repeatWindow"], c["keyScope"] == "zone")
+            for c in plan.settings["classes"]
+            if c["idempotency"] == "dedup"
+        }
         self._timers: set[asyncio.TimerHandle] = set()
         self._new = itertools.count(1)
 
@@ -194,9 +202,17 @@
 
     def _tell_world(self) -> None:
         at, since = self.observer.did()
-        self.observer.see(ev.World(at, since, tuple(
-            ev.Route(route.plan.name, number, route.plan.zone, partner.plan.apart)
-            for number, partner in self.partners.items() for route in partner.routes.values())))
+        self.observer.see(
+            ev.World(
+                at,
+                since,
+                tuple(
+                    ev.Route(route.plan.name, number, route.plan.zone, partner.plan.apart)
+                    for number, partner in self.partners.items()
+                    for route in partner.routes.values()
+                ),
+            )
+        )
 
     async def stop(self) -> None:
         for timer in self._timers:
--- a/garnetrelay/rehearsal/partners/model.py
+++ b/garnetrelay/rehearsal/partners/model.py
@@ -16,7 +16,8 @@
 MS = 1_000_000
 SECOND = 1_000_000_000
 CUT_ANSWERS = (  # spoilt in ways of their own; the call has run all the same
-    b"\x00\x17garbage\r\n\r\n", b"HTTP/1.1 500 Spoilt\r\nContent-Length: -5\r\n\r\n",
+    b"\x00\x17garbage\r\n\r\n",
+    b"HTTP/1.1 500 Spoilt\r\nContent-Length: -5\r\n\r\n",
     b"HTTP/1.1 503 Spoilt\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 2000,
     b"HTTP/1.1 429 Spoilt\r\nX-Backoff-Ms: 400\r\nno head ends like this",
 )
@@ -172,7 +173,8 @@
         if name not in self.scopes:
             share = 1 / own.route_count if own.apart else 1.0
             self.scopes[name] = Scope(
-                name, own.capacity * share, Limit(own.limit, own.limit_rate * share, own.span, own.refused_count))
+                name, own.capacity * share, Limit(own.limit, own.limit_rate * share, own.span, own.refused_count)
+            )
         route = self.routes[plan.name] = Route(plan, self.scopes[name], own.slots, own.depth)
         return route
 
@@ -255,7 +257,7 @@
         trouble = route.scope.trouble
         factor = trouble.factor if trouble is not None and trouble.how == "slow" else 1.0
         mean = self.plan.service * factor / route.scope.warmth(now)
-        took = mean * self.random.lognormvariate(-self.plan.spread ** 2 / 2, self.plan.spread)
+        took = mean * self.random.lognormvariate(-(self.plan.spread**2) / 2, self.plan.spread)
         return Due(call, now + int(took), Reply(200, runs=True))
 
     # ---- what becomes of it
--- a/garnetrelay/rehearsal/plan.py
+++ b/garnetrelay/rehearsal/plan.py
@@ -121,8 +121,18 @@
     arrivals = _arrivals(scenario, partners, steps, int(length * SECOND), random.Random(f"{seed}/arrivals"))
     settings, limits = _told(scenario, partners, count)
     late = (int(scenario.register.late_s[0] * SECOND), int(scenario.register.late_s[1] * SECOND))
-    return Plan(scenario.name, seed, int(length * SECOND), tuple(f"relay{n + 1}" for n in range(count)), settings,
-                limits, partners, arrivals, steps, late)
+    return Plan(
+        scenario.name,
+        seed,
+        int(length * SECOND),
+        tuple(f"relay{n + 1}" for n in range(count)),
+        settings,
+        limits,
+        partners,
+        arrivals,
+        steps,
+        late,
+    )
 
 
 def _partners(scenario: Scenario, draw: random.Random) -> tuple[PartnerPlan, ...]:
@@ -142,17 +152,34 @@
         slots = max(LEAST_SLOTS, math.ceil(capacity / routes * service / SECOND))
         capacity = slots * routes * SECOND / service  # what the slots amount to
         first = draw.randrange(len(scenario.buildings))
-        made.append(PartnerPlan(
-            number=number, kind=kind.name, apart=kind.apart,
-            routes=tuple(RoutePlan(f"{kind.name}-{number}-{place + 1}",
-                                   scenario.buildings[(first + place) % len(scenario.buildings)])
-                         for place in range(routes)),
-            weight=share, full=full, capacity=capacity, service=service, spread=0.4, slots=slots,
-            depth=max(2, math.ceil(kind.depth_s * capacity / routes)), limit=kind.limit, limit_rate=limit_rate,
-            listed=limit_rate / (routes if kind.apart else 1), span=2 * SECOND,
-            tells_wait=draw.uniform(*kind.tells_wait), refused_count=kind.refused_count,
-            connections=max(6, math.ceil(kind.connections * slots)) if kind.connections else 0,
-            report_every=int(draw.uniform(0.16, 0.72) * SECOND)))
+        made.append(
+            PartnerPlan(
+                number=number,
+                kind=kind.name,
+                apart=kind.apart,
+                routes=tuple(
+                    RoutePlan(
+                        f"{kind.name}-{number}-{place + 1}", scenario.buildings[(first + place) % len(scenario.buildings)]
+                    )
+                    for place in range(routes)
+                ),
+                weight=share,
+                full=full,
+                capacity=capacity,
+                service=service,
+                spread=0.4,
+                slots=slots,
+                depth=max(2, math.ceil(kind.depth_s * capacity / routes)),
+                limit=kind.limit,
+                limit_rate=limit_rate,
+                listed=limit_rate / (routes if kind.apart else 1),
+                span=2 * SECOND,
+                tells_wait=draw.uniform(*kind.tells_wait),
+                refused_count=kind.refused_count,
+                connections=max(6, math.ceil(kind.connections * slots)) if kind.connections else 0,
+                report_every=int(draw.uniform(0.16, 0.72) * SECOND),
+            )
+        )
     return tuple(made)
 
 
@@ -162,8 +189,9 @@
     return int(mean * MS * draw.lognormvariate(0, kind.slow_cv / 2))
 
 
-def _steps(scenario: Scenario, partners: tuple[PartnerPlan, ...], relays: int, stretch: float,
-           draw: random.Random) -> tuple[Step, ...]:
+def _steps(
+    scenario: Scenario, partners: tuple[PartnerPlan, ...], relays: int, stretch: float, draw: random.Random
+) -> tuple[Step, ...]:
     made: list[Step] = []
     by_size = sorted(partners, key=lambda partner: -partner.full)
     for spec in scenario.steps:
@@ -171,7 +199,9 @@
         ends = at + int(spec.seconds * min(1.0, stretch) * SECOND) if spec.seconds else 0
         chosen: tuple[int, ...] = ()
         if spec.what in (*TROUBLES, "hot", "reports-absurd"):
-            pool = {"largest": by_size[:spec.count], "smallest": by_size[-spec.count:], "all": by_size}.get(spec.partners)
+            pool = {"largest": by_size[: spec.count], "smallest": by_size[-spec.count :], "all": by_size}.get(
+                spec.partners
+            )
             picked = pool if pool is not None else draw.sample(by_size, min(spec.count, len(by_size)))
             chosen = tuple(partner.number for partner in picked)
         if spec.what in ("drain", "replace", "by-hand"):
@@ -195,15 +225,24 @@
                 for place in range(relays if spec.relays != "one" else 1):
                     shift = int(spec.every_s * (turn + (place / relays if spec.relays == "rolling" else 0)) * SECOND)
                     fault = draw.choice(("config", "killed", "killed")) if draw.random() < spec.fails else ""
-                    made.append(Step(at + shift, 0, spec, relay=f"relay{place + 1}", fault=fault,
-                                     after=int(draw.uniform(0, LONGEST_KILL) * SECOND)))
+                    made.append(
+                        Step(
+                            at + shift,
+                            0,
+                            spec,
+                            relay=f"relay{place + 1}",
+                            fault=fault,
+                            after=int(draw.uniform(0, LONGEST_KILL) * SECOND),
+                        )
+                    )
         else:
             made.append(Step(at, ends, spec, chosen))
     return tuple(sorted(made, key=lambda step: step.at))
 
 
-def _arrivals(scenario: Scenario, partners: tuple[PartnerPlan, ...], steps: tuple[Step, ...], length: int,
-              draw: random.Random) -> tuple[Arrival, ...]:
+def _arrivals(
+    scenario: Scenario, partners: tuple[PartnerPlan, ...], steps: tuple[Step, ...], length: int, draw: random.Random
+) -> tuple[Arrival, ...]:
     """By thinning: drawn at the highest rate there is, and kept by the share of it that holds at that time."""
     load = scenario.load
     bursts = [step for step in steps if step.spec.what == "burst"]
@@ -261,25 +300,52 @@
     full = sum(partner.full for partner in partners) / relays
     kinds = [kind.name for kind in scenario.kinds]
     settings: dict[str, Any] = {
-        "azs": list(scenario.buildings), "balancers": relays, "kinds": kinds, "discovery": "subscribe",
-        "weightSource": "nominal", "overShareWorth": 1.0, "tenants": [],
+        "azs": list(scenario.buildings),
+        "balancers": relays,
+        "kinds": kinds,
+        "discovery": "subscribe",
+        "weightSource": "nominal",
+        "overShareWorth": 1.0,
+        "tenants": [],
         "classes": [
-            {"name": klass.name, "aim": int(klass.aim_ms * MS), "deadline": int(klass.deadline_ms * MS),
-             "worth": klass.worth, "lateWorth": klass.late_worth, "idempotency": PROTOCOL_REPEAT[klass.repeat],
-             "keyScope": "zone" if klass.by_building else "all", "repeatWindow": int(klass.window_ms * MS),
-             "inTurn": klass.in_turn} for klass in scenario.classes],
+            {
+                "name": klass.name,
+                "aim": int(klass.aim_ms * MS),
+                "deadline": int(klass.deadline_ms * MS),
+                "worth": klass.worth,
+                "lateWorth": klass.late_worth,
+                "idempotency": PROTOCOL_REPEAT[klass.repeat],
+                "keyScope": "zone" if klass.by_building else "all",
+                "repeatWindow": int(klass.window_ms * MS),
+                "inTurn": klass.in_turn,
+            }
+            for klass in scenario.classes
+        ],
         "familyInfo": {
-            "callsOut": max(LEAST_SLOTS, math.ceil(limits.slots_room * busy)), "decay": "even",
-            "kindApart": [kind.apart for kind in scenario.kinds], "perCall": [1] * len(kinds)},
+            "callsOut": max(LEAST_SLOTS, math.ceil(limits.slots_room * busy)),
+            "decay": "even",
+            "kindApart": [kind.apart for kind in scenario.kinds],
+            "perCall": [1] * len(kinds),
+        },
         "loadReport": {"via": "inline", "fields": ["x0", "x1"]},
         "rules": {
-            "answerSlack": int(rules.answer_slack_ms * MS), "drainGrace": int(rules.drain_grace_ms * MS),
-            "fall": int(rules.fall_ms * MS), "fallMultiple": rules.fall_multiple,
-            "rampTime": int(rules.ramp_ms * MS), "startCapacity": rules.start_capacity,
-            "turnGap": int(rules.turn_gap_ms * MS), "askEvery": int(rules.ask_every_ms * MS)},
+            "answerSlack": int(rules.answer_slack_ms * MS),
+            "drainGrace": int(rules.drain_grace_ms * MS),
+            "fall": int(rules.fall_ms * MS),
+            "fallMultiple": rules.fall_multiple,
+            "rampTime": int(rules.ramp_ms * MS),
+            "startCapacity": rules.start_capacity,
+            "turnGap": int(rules.turn_gap_ms * MS),
+            "askEvery": int(rules.ask_every_ms * MS),
+        },
         "limits": {
-            "cancel": True, "probes": True, "mostHeld": max(LEAST_HELD, math.ceil(limits.hold_s * full)),
-            "mostTries": rules.most_tries, "connectTimeout": SECOND, "connIdle": 10 * SECOND,
-            "maxRetryAfter": 2 * SECOND},
+            "cancel": True,
+            "probes": True,
+            "mostHeld": max(LEAST_HELD, math.ceil(limits.hold_s * full)),
+            "mostTries": rules.most_tries,
+            "connectTimeout": SECOND,
+            "connIdle": 10 * SECOND,
+            "maxRetryAfter": 2 * SECOND,
+        },
     }
     return settings, {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets, "disk_mb": limits.disk_mb}
--- a/garnetrelay/rehearsal/register.py
+++ b/garnetrelay/rehearsal/register.py
@@ -63,8 +63,13 @@
 class Register:
     """Register and platform for all relays of a run. ``on_bounced`` hears of each refusal by a notice."""
 
-    def __init__(self, plan: Plan, observer: Observer, address_of: Callable[[str, str], str],
-                 on_bounced: Callable[[str, int], None]) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        observer: Observer,
+        address_of: Callable[[str, str], str],
+        on_bounced: Callable[[str, int], None],
+    ) -> None:
         self.plan = plan
         self.observer = observer
         self.address_of = address_of
@@ -72,7 +77,9 @@
         self.random = random.Random(f"{plan.seed}/register")
         self.entries = {
             route.name: Entry(route.name, route.zone, partner.kind, partner.number, partner.listed)
-            for partner in plan.partners for route in partner.routes}
+            for partner in plan.partners
+            for route in partner.routes
+        }
         self.index = 41
         self.sides = {relay: Side(relay) for relay in plan.relays}
         self.down = False
@@ -99,8 +106,11 @@
 
     def known(self, relay: str) -> dict[str, Any]:
         """The list as a relay may have it at its first start."""
-        return {"index": self.index, "snapshot": True,
-                "endpoints": [self._entry(relay, entry, entry.status) for entry in self.entries.values()]}
+        return {
+            "index": self.index,
+            "snapshot": True,
+            "endpoints": [self._entry(relay, entry, entry.status) for entry in self.entries.values()],
+        }
 
     def relay_is(self, relay: str, ready: bool) -> None:
         """A relay has started, or is gone."""
@@ -246,12 +256,29 @@
     def _snapshot(self, side: Side) -> bytes:
         told = {name: self._told_status(side, name) for name in self.entries}
         index = max((line.index for line in side.told), default=41) - side.base
-        return msgspec.json.encode({"index": index, "snapshot": True, "endpoints": [
-            self._entry(side.relay, self.entries[name], status) for name, status in told.items() if status != "Gone"]})
+        return msgspec.json.encode(
+            {
+                "index": index,
+                "snapshot": True,
+                "endpoints": [
+                    self._entry(side.relay, self.entries[name], status)
+                    for name, status in told.items()
+                    if status != "Gone"
+                ],
+            }
+        )
 
     def _entry(self, relay: str, entry: Entry, status: str) -> dict[str, Any]:
-        return {"name": entry.name, "address": self.address_of(entry.name, relay), "zone": entry.zone,
-                "type": entry.kind, "group": entry.dest, "status": status, "weight": entry.rate, "since_ms": 0}
+        return {
+            "name": entry.name,
+            "address": self.address_of(entry.name, relay),
+            "zone": entry.zone,
+            "type": entry.kind,
+            "group": entry.dest,
+            "status": status,
+            "weight": entry.rate,
+            "since_ms": 0,
+        }
 
     def _chunk(self, side: Side, value: Any) -> None:
         assert side.watch is not None
--- a/garnetrelay/rehearsal/relays.py
+++ b/garnetrelay/rehearsal/relays.py
@@ -65,10 +65,19 @@
         """Write the file that RELAY_CONFIG names, in one step."""
         path = self.folder / "config.json"
         new = self.folder / "config.json.new"
-        new.write_text(json.dumps({
-            "name": self.name, "listen": f"127.0.0.1:{self.port}", "discovery": discovery,
-            "seed": f"{self.plan.seed}-{self.name}-{self.life}", "limits": self.plan.limits,
-            "settings": self.plan.settings, "known": known}))
+        new.write_text(
+            json.dumps(
+                {
+                    "name": self.name,
+                    "listen": f"127.0.0.1:{self.port}",
+                    "discovery": discovery,
+                    "seed": f"{self.plan.seed}-{self.name}-{self.life}",
+                    "limits": self.plan.limits,
+                    "settings": self.plan.settings,
+                    "known": known,
+                }
+            )
+        )
         new.rename(path)
 
     async def start(self, discovery: str) -> None:
@@ -90,9 +99,13 @@
 
     async def _spawn(self, discovery: str, staff_port: int, config: str = "config.json") -> asyncio.subprocess.Process:
         environment = {
-            **os.environ, "RELAY_NAME": self.name, "RELAY_LISTEN": f"127.0.0.1:{self.port}",
-            "RELAY_DISCOVERY": discovery, "RELAY_STATE": str(self.state),
-            "RELAY_CONFIG": str(self.folder / config)}
+            **os.environ,
+            "RELAY_NAME": self.name,
+            "RELAY_LISTEN": f"127.0.0.1:{self.port}",
+            "RELAY_DISCOVERY": discovery,
+            "RELAY_STATE": str(self.state),
+            "RELAY_CONFIG": str(self.folder / config),
+        }
         if self.options is not None:
             environment["RELAY_OPTIONS"] = str(self.options)
         if staff_port:
@@ -100,8 +113,12 @@
         limit = min(int(self.plan.limits["sockets"]), resource.getrlimit(resource.RLIMIT_NOFILE)[1])
         with self.log.open("ab") as log:
             return await asyncio.create_subprocess_shell(
-                f"ulimit -n {limit}; exec {self.command}", env=environment, stdin=asyncio.subprocess.DEVNULL,
-                stdout=log, stderr=log)
+                f"ulimit -n {limit}; exec {self.command}",
+                env=environment,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
 
     # ---- upgrades
 
@@ -274,7 +291,6 @@
             self.planned = True
             self.process.kill()
 
-
     async def gone(self) -> None:
         """Once its process has ended and all is told of it."""
         if self._watching is not None:
@@ -316,5 +332,3 @@
         except FileNotFoundError:
             continue
     return total
-
-
