--- a/garnetrelay/rehearsal/report/live.py
+++ b/garnetrelay/rehearsal/report/live.py
@@ -29,24 +29,49 @@
 def _picture(conductor: Conductor) -> Group:
     plan, tally = conductor.plan, conductor.tally
     done = max(0, conductor.clock.now() - conductor.began) if conductor.began else 0
-    head = Text(f"{plan.scenario}, seed {plan.seed}, {len(plan.relays)} relays: "
-                f"{min(done, plan.length) / 1e9:.0f} of {plan.length / 1e9:.0f} s")
+    head = Text(
+        f"{plan.scenario}, seed {plan.seed}, {len(plan.relays)} relays: "
+        f"{min(done, plan.length) / 1e9:.0f} of {plan.length / 1e9:.0f} s"
+    )
     table = Table(box=None, pad_edge=False)
     for column in ("", "handed in", "delivered", "refused", "failed", "turned away", "held"):
         table.add_column(column, justify="right")
     last = tally.seconds[-2] if len(tally.seconds) > 1 else None
     if last is not None:
-        table.add_row("last second", *(str(value) for value in (
-            last.handed_in, last.delivered, last.refused + last.ended["bounced"], last.ended["dead"],
-            sum(last.turned_away.values()), last.held)))
+        table.add_row(
+            "last second",
+            *(
+                str(value)
+                for value in (
+                    last.handed_in,
+                    last.delivered,
+                    last.refused + last.ended["bounced"],
+                    last.ended["dead"],
+                    sum(last.turned_away.values()),
+                    last.held,
+                )
+            ),
+        )
     counts = tally.counts
-    table.add_row("in all", *(str(value) for value in (
-        counts["handed in"], tally.statuses[200], counts["answered busy"] + counts["notices, bounced"],
-        counts["notices, dead"], tally.statuses[429] + tally.statuses[503], len(tally.held))))
+    table.add_row(
+        "in all",
+        *(
+            str(value)
+            for value in (
+                counts["handed in"],
+                tally.statuses[200],
+                counts["answered busy"] + counts["notices, bounced"],
+                counts["notices, dead"],
+                tally.statuses[429] + tally.statuses[503],
+                len(tally.held),
+            )
+        ),
+    )
     lines = [Text(f"{step.at / 1e9:7.1f} s  {step.text}", style="dim") for step in tally.steps[-SHOWN:]]
     verdicts = conductor.checker.verdicts
-    lines += [Text(f"rule {verdict.rule}, {verdict.fault}: {verdict.text}", style="bold red")
-              for verdict in verdicts[-SHOWN:]]
+    lines += [
+        Text(f"rule {verdict.rule}, {verdict.fault}: {verdict.text}", style="bold red") for verdict in verdicts[-SHOWN:]
+    ]
     return Group(head, ProgressBar(total=plan.length, completed=min(done, plan.length), width=60), table, *lines)
 
 
@@ -60,27 +85,49 @@
     service = ", ".join(f"{name} {value:.3f}" for name, value in outcome.tally.service().items())
     console.print(Text(f"service: {service}"))
     counts = outcome.tally.counts
-    console.print(Text(f"{counts['handed in']} handed in, {outcome.tally.statuses[200]} delivered, "
-                       f"{counts['notices, bounced'] + counts['answered busy']} refused, "
-                       f"{counts['notices, dead']} failed; {outcome.tally.most_held} held at most"))
+    console.print(
+        Text(
+            f"{counts['handed in']} handed in, {outcome.tally.statuses[200]} delivered, "
+            f"{counts['notices, bounced'] + counts['answered busy']} refused, "
+            f"{counts['notices, dead']} failed; {outcome.tally.most_held} held at most"
+        )
+    )
     if outcome.tally.upgrades:
         how = ", ".join(f"{count} {name}" for name, count in Counter(u.how for u in outcome.tally.upgrades).items())
-        console.print(Text(f"upgrades: {how}; hand-ins unanswered: " + (", ".join(
-            f"{count} {name.removeprefix('unanswered, ')}" for name, count in counts.items()
-            if name.startswith("unanswered")) or "none")))
+        console.print(
+            Text(
+                f"upgrades: {how}; hand-ins unanswered: "
+                + (
+                    ", ".join(
+                        f"{count} {name.removeprefix('unanswered, ')}"
+                        for name, count in counts.items()
+                        if name.startswith("unanswered")
+                    )
+                    or "none"
+                )
+            )
+        )
         for name, times in outcome.tally.answer_times().items():
-            console.print(Text(f"answers {name}: " + ", ".join(f"{key} {value:g}" for key, value in times.items())
-                               + " ms"))
+            console.print(
+                Text(f"answers {name}: " + ", ".join(f"{key} {value:g}" for key, value in times.items()) + " ms")
+            )
     if outcome.fleet:
         table = Table(box=None, pad_edge=False)
         for column in ("at s", "fleet", "relays", "first doubt s", "all know s", "one view s"):
             table.add_column(column, justify="left" if column == "fleet" else "right")
         for met in outcome.fleet:
-            table.add_row(f"{met.at:.0f}", met.what, str(met.relays), *(
-                "-" if value is None else f"{value:.2f}" for value in (met.noticed, met.known, met.one_view)))
+            table.add_row(
+                f"{met.at:.0f}",
+                met.what,
+                str(met.relays),
+                *("-" if value is None else f"{value:.2f}" for value in (met.noticed, met.known, met.one_view)),
+            )
         console.print(table)
     for rude in outcome.rude:
         console.print(Text(f"bad clients: {rude.tried} tried, {rude.left_waiting} left with neither error nor close"))
-    end = Text("every rule held", style="bold green") if outcome.kept else Text(
-        f"rules broken: {', '.join(sorted({str(v.rule) for v in outcome.verdicts}))}", style="bold red")
+    end = (
+        Text("every rule held", style="bold green")
+        if outcome.kept
+        else Text(f"rules broken: {', '.join(sorted({str(v.rule) for v in outcome.verdicts}))}", style="bold red")
+    )
     console.print(Text(f"{outcome.plan.scenario}, seed {outcome.plan.seed}: "), end)
--- a/garnetrelay/rehearsal/report/machine.py
+++ b/garnetrelay/rehearsal/report/machine.py
@@ -17,16 +17,25 @@
     """Plain values: what was played, what came of it, each verdict with its proof."""
     plan = outcome.plan
     return {
-        "version": VERSION, "scenario": plan.scenario, "seed": plan.seed, "relays": len(plan.relays),
-        "schedule": plan.digest(), "seconds": round(plan.length / 1e9, 3), "took": round(outcome.ended_at / 1e9, 3),
+        "version": VERSION,
+        "scenario": plan.scenario,
+        "seed": plan.seed,
+        "relays": len(plan.relays),
+        "schedule": plan.digest(),
+        "seconds": round(plan.length / 1e9, 3),
+        "took": round(outcome.ended_at / 1e9, 3),
         "kept": outcome.kept,
-        "rules": {str(number): {"text": text, "broken": sum(v.rule == number for v in outcome.verdicts)}
-                  for number, text in RULES.items()},
+        "rules": {
+            str(number): {"text": text, "broken": sum(v.rule == number for v in outcome.verdicts)}
+            for number, text in RULES.items()
+        },
         "verdicts": [msgspec.to_builtins(verdict) for verdict in outcome.verdicts],
         **outcome.tally.summary(),
         **({"fleet": msgspec.to_builtins(outcome.fleet)} if outcome.fleet else {}),
-        "bad clients": {"tried": sum(rude.tried for rude in outcome.rude),
-                        "left with neither error nor close": sum(rude.left_waiting for rude in outcome.rude)},
+        "bad clients": {
+            "tried": sum(rude.tried for rude in outcome.rude),
+            "left with neither error nor close": sum(rude.left_waiting for rude in outcome.rude),
+        },
     }
 
 
--- a/garnetrelay/rehearsal/report/page.py
+++ b/garnetrelay/rehearsal/report/page.py
@@ -31,13 +31,17 @@
 def render(outcome: Outcome) -> str:
     """The page's text."""
     template = jinja2.Environment(autoescape=True, undefined=jinja2.StrictUndefined).from_string(
-        (resources.files("garnetrelay.rehearsal.report") / "page.html").read_text())
+        (resources.files("garnetrelay.rehearsal.report") / "page.html").read_text()
+    )
     facts = report(outcome)
     return template.render(
-        facts=facts, rules=RULES, plots=_plots(outcome),
+        facts=facts,
+        rules=RULES,
+        plots=_plots(outcome),
         steps=[(step.at / 1e9, step.text) for step in outcome.tally.steps],
         verdicts=[(verdict, [_line(event) for event in verdict.proof]) for verdict in outcome.verdicts[:MOST_VERDICTS]],
-        left_out=max(0, len(outcome.verdicts) - MOST_VERDICTS))
+        left_out=max(0, len(outcome.verdicts) - MOST_VERDICTS),
+    )
 
 
 def _line(event: ev.Event) -> str:
@@ -65,8 +69,9 @@
         figure, axes = _figure("calls a second")
         axes.plot(times, [s.calls[scope] for s in seconds], color=COLOURS["handed in"], label="sent")
         axes.plot(times, [s.turned_away[scope] for s in seconds], color=COLOURS["refused"], label="turned away")
-        axes.plot(times, _capacity(outcome, scope, partner, times), color="#222222", linestyle="--",
-                  label="what it can take")
+        axes.plot(
+            times, _capacity(outcome, scope, partner, times), color="#222222", linestyle="--", label="what it can take"
+        )
         plots.append((f"{scope} ({partner.kind})", _svg(figure, axes, outcome)))
     return plots
 
@@ -114,4 +119,4 @@
     out = io.StringIO()
     figure.savefig(out, format="svg", metadata={"Date": None})
     text = out.getvalue()
-    return text[text.index("<svg"):]
+    return text[text.index("<svg") :]
--- a/garnetrelay/rehearsal/rude.py
+++ b/garnetrelay/rehearsal/rude.py
@@ -11,21 +11,23 @@
 
 def nonsense(draw: random.Random) -> bytes:
     """Something that no relay can take on."""
-    return draw.choice([
-        b"\x00\xff" * 500,
-        b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
-        b"*5\r\n$7\r\nENQUEUE\r\n$-5\r\n",
-        b"*5\r\n$7\r\nENQUEUE\r\n$99999999999\r\n",
-        b"*-7\r\n",
-        b"*100000000\r\n",
-        b"*1\r\n$4\r\nNOPE\r\n",
-        b"*5\r\n$7\r\nENQUEUE\r\n$4\r\n0000\r\n$2\r\nid\r\n$13\r\nc=none,d=1000\r\n$1\r\nx\r\n",
-        b"*5\r\n$7\r\nENQUEUE\r\n$4\r\n0000\r\n$0\r\n\r\n$29\r\nc=match-state,d=nought,dest=1\r\n$1\r\nx\r\n",
-        b"*5\r\n$7\r\nENQUEUE\r\n$4\r\n0000\r\n$3\r\na b\r\n$28\r\nc=match-state,d=1000,dest=1\r\n$1\r\nx\r\n",
-        b"*1\r\n$60000000\r\n" + BLOCK * 4,
-        b"*2\r\n$4\r\nPI",
-        b"",
-    ])
+    return draw.choice(
+        [
+            b"\x00\xff" * 500,
+            b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+            b"*5\r\n$7\r\nENQUEUE\r\n$-5\r\n",
+            b"*5\r\n$7\r\nENQUEUE\r\n$99999999999\r\n",
+            b"*-7\r\n",
+            b"*100000000\r\n",
+            b"*1\r\n$4\r\nNOPE\r\n",
+            b"*5\r\n$7\r\nENQUEUE\r\n$4\r\n0000\r\n$2\r\nid\r\n$13\r\nc=none,d=1000\r\n$1\r\nx\r\n",
+            b"*5\r\n$7\r\nENQUEUE\r\n$4\r\n0000\r\n$0\r\n\r\n$29\r\nc=match-state,d=nought,dest=1\r\n$1\r\nx\r\n",
+            b"*5\r\n$7\r\nENQUEUE\r\n$4\r\n0000\r\n$3\r\na b\r\n$28\r\nc=match-state,d=1000,dest=1\r\n$1\r\nx\r\n",
+            b"*1\r\n$60000000\r\n" + BLOCK * 4,
+            b"*2\r\n$4\r\nPI",
+            b"",
+        ]
+    )
 
 
 class Rude:
--- a/garnetrelay/rehearsal/scenario.py
+++ b/garnetrelay/rehearsal/scenario.py
@@ -24,13 +24,30 @@
 
 TROUBLES = ("shut", "hang", "silent", "fail", "reset", "spoil", "slow", "down")
 What = Literal[
-    "shut", "hang", "silent", "fail", "reset", "spoil", "slow", "down",  # partners
-    "burst", "hot",  # traffic
-    "restart", "kill", "reload", "upgrade",  # relays
+    "shut",
+    "hang",
+    "silent",
+    "fail",
+    "reset",
+    "spoil",
+    "slow",
+    "down",  # partners
+    "burst",
+    "hot",  # traffic
+    "restart",
+    "kill",
+    "reload",
+    "upgrade",  # relays
     "by-hand",  # staff take endpoints out, which are restarted, and put them back
-    "register-down", "register-slow", "watches-end", "index-back",  # the register
-    "notices-refused", "notices-lost",  # the platform
-    "drain", "replace", "reports-absurd",  # endpoints
+    "register-down",
+    "register-slow",
+    "watches-end",
+    "index-back",  # the register
+    "notices-refused",
+    "notices-lost",  # the platform
+    "drain",
+    "replace",
+    "reports-absurd",  # endpoints
     "bad-clients",
 ]
 
--- a/garnetrelay/rehearsal/tally.py
+++ b/garnetrelay/rehearsal/tally.py
@@ -80,18 +80,25 @@
 
     def _table(self) -> dict[type[ev.Observed], Callable[[Any, Second], None]]:
         return {
-            ev.HandedIn: self._handed_in, ev.Answered: self._taken_on, ev.Unanswered: self._unanswered,
-            ev.CallCame: self._came, ev.CallAnswered: self._answered, ev.CallEnded: self._ended,
+            ev.HandedIn: self._handed_in,
+            ev.Answered: self._taken_on,
+            ev.Unanswered: self._unanswered,
+            ev.CallCame: self._came,
+            ev.CallAnswered: self._answered,
+            ev.CallEnded: self._ended,
             ev.Effect: lambda event, now: self.counts.update(("effects",)),
-            ev.ProbeCame: lambda event, now: self.counts.update(("probes",)), ev.NoticeCame: self._notice,
+            ev.ProbeCame: lambda event, now: self.counts.update(("probes",)),
+            ev.NoticeCame: self._notice,
             ev.RelayPassed: lambda event, now: self.upgrades.append(event),
             ev.RelaySignalled: lambda event, now: self.restarts.append(event),
             ev.Step: lambda event, now: self.steps.append(event),
             ev.FellOver: lambda event, now: self.fell.append(event),
-            ev.OutageBegan: lambda event, now: self.outages.append((event, None)), ev.OutageOver: self._outage_over,
+            ev.OutageBegan: lambda event, now: self.outages.append((event, None)),
+            ev.OutageOver: self._outage_over,
             ev.Starved: lambda event, now: self.starved.update({event.relay: event.waited}),
             ev.DiskUsed: self._disk_used,
-            ev.World: lambda event, now: self._routes.update({route.name: route for route in event.routes})}
+            ev.World: lambda event, now: self._routes.update({route.name: route for route in event.routes}),
+        }
 
     def _handed_in(self, event: ev.HandedIn, now: Second) -> None:
         now.handed_in += 1
@@ -138,8 +145,9 @@
         self._over(event.ref)
 
     def _outage_over(self, event: ev.OutageOver, now: Second) -> None:
-        self.outages = [(began, event if over is None and began.scope == event.scope else over)
-                        for began, over in self.outages]
+        self.outages = [
+            (began, event if over is None and began.scope == event.scope else over) for began, over in self.outages
+        ]
 
     def _disk_used(self, event: ev.DiskUsed, now: Second) -> None:
         self.disk[event.relay] = max(self.disk.get(event.relay, 0), event.bytes)
@@ -193,7 +201,7 @@
             spans = sorted((passed.began, passed.at) for passed in self.upgrades if passed.relay == relay)
             for asked, took in zip(pairs[::2], pairs[1::2], strict=True):
                 place = bisect.bisect(spans, (asked + took, 1 << 62)) - 1
-                within = any(asked <= end for _, end in spans[max(0, place - 1):place + 1])
+                within = any(asked <= end for _, end in spans[max(0, place - 1) : place + 1])
                 found["during upgrades" if within else "otherwise"].append(took)
         return {name: _percentiles(times) for name, times in found.items() if times}
 
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -128,9 +128,19 @@
             relay.journal.outcome(message.ref, outcome.status in MAY_HAVE_RUN or outcome.status is io.Status.OK)
         if message.over:
             relay.held.pop(message.ref, None)
-        relay.post(io.Verdict(
-            message.ref, self.number, self.host, outcome.status, time.monotonic_ns() - self.started,
-            finished, outcome.wait, outcome.no_slot, outcome.report))
+        relay.post(
+            io.Verdict(
+                message.ref,
+                self.number,
+                self.host,
+                outcome.status,
+                time.monotonic_ns() - self.started,
+                finished,
+                outcome.wait,
+                outcome.no_slot,
+                outcome.report,
+            )
+        )
 
 
 class Relay:
@@ -141,9 +151,14 @@
         self.inheritance = inheritance
         self.settings = config.settings
         self.pacer = Pacer(config.settings, config.seed)
-        self.journal = Store.open(config.state, config.journal_bytes, config.machine_durable,
-                                  None if inheritance is None else inheritance.claim, ahead,
-                                  config.settings.limits.most_tries)
+        self.journal = Store.open(
+            config.state,
+            config.journal_bytes,
+            config.machine_durable,
+            None if inheritance is None else inheritance.claim,
+            ahead,
+            config.settings.limits.most_tries,
+        )
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
         self.listed: dict[str, io.HostEntry] = {}  # by host
         self.gone: dict[str, None] = {}  # hosts that were listed, the latest last
@@ -173,8 +188,13 @@
         self.time_is_up = False
         self.finished = asyncio.Event()
         # Clients and hosts share the descriptors: each may have what the other does not use of its own part.
-        self.hosts = net.Hosts(config.settings, self._host_room, lambda: self.server.close_longest_idle(),
-                               self.journal.on_record, config.machine_durable)
+        self.hosts = net.Hosts(
+            config.settings,
+            self._host_room,
+            lambda: self.server.close_longest_idle(),
+            self.journal.on_record,
+            config.machine_durable,
+        )
         self.server = Server(self.on_request, self._client_room, self._more_client_room)
         self.server.on_closed = self._end_if_idle
         self.reader = Reader(config)
@@ -199,17 +219,21 @@
         gc.freeze()  # what was read stays: no collection has to look at it again
         if self.config.machine_durable:
             from garnetrelay.store.durability import Syncing  # a thread: only where it is wanted
+
             self.syncing = Syncing(self.journal)
         if self.config.operators is not None:
             from garnetrelay.operators.service import Operators  # only where staff may call
+
             self.operators = Operators(self)
             await self.operators.start(self.config.operators)
             self.inbox += self.operators.excluded()
         if self.config.fleet is not None:
             from garnetrelay.fleet.service import Fleet  # only where relays know each other
+
             passed = None if self.inheritance is None else self.inheritance.state.fleet
             self.fleet = Fleet(
-                self.config.fleet, self.config.name, self.config.state, self.config.machine_durable, passed)
+                self.config.fleet, self.config.name, self.config.state, self.config.machine_durable, passed
+            )
             await self.fleet.start()
         if self.inheritance is None:
             self._read_known()
@@ -228,9 +252,11 @@
         self._recover_slice()
         if self.config.operators is not None:
             from garnetrelay.upgrade.give import Giver  # staff may upgrade it
+
             self.giver = Giver(self)
         if self.inheritance is not None:
             from garnetrelay.upgrade.take import Hearing
+
             self.inheritance.taken()
             self.hearing = Hearing(self.inheritance.channel, self._exclude_as_told)
             self.inheritance = None
@@ -291,8 +317,16 @@
     def _end_if_idle(self) -> None:
         """The end, unless anything is held, owed, on its way, or may yet come on a connection that is open."""
         if self.server.draining and not (
-                self.held or self.recovering or self.notices.queue or self.unreleased or self.turn_due or self.inbox
-                or self.newcomers or self.server.connections or self.server.listening):
+            self.held
+            or self.recovering
+            or self.notices.queue
+            or self.unreleased
+            or self.turn_due
+            or self.inbox
+            or self.newcomers
+            or self.server.connections
+            or self.server.listening
+        ):
             self.finished.set()
 
     def retire(self) -> None:
@@ -336,6 +370,7 @@
     def _inherit(self, state: State) -> None:
         """The list as the process before had it, and what it knew."""
         from starlingwick.memory import restore
+
         entries, addresses = [], {}
         for e in state.endpoints:
             entries.append(io.HostEntry(e.name, e.zone, e.kind, e.dest, io.Availability(e.availability), e.rate))
@@ -367,6 +402,7 @@
     def _exclude_as_told(self, host: str, out: bool) -> str:
         """Staff called the process before; why it can't be done, or nothing."""
         from garnetrelay.operators.calls import Refused
+
         assert self.operators is not None
         try:
             self.operators.exclude(host, out)
@@ -466,17 +502,18 @@
         deadline = time.time_ns() // MS + request.patience_ms
         ends_at = time.monotonic_ns() + request.patience_ms * MS
         self.newcomers[request.ref] = Newcomer(request, reply, deadline, ends_at)
-        self.post(io.Arrived(
-            call=request.ref,
-            tenant=0,
-            klass=self.class_numbers[request.klass],
-            dest=request.dest,
-            key=request.key,
-            patience=request.patience_ms * MS,
-            storable=self.journal.has_room(request.ref, request.key, len(request.body)) and (
-                not self.recovering
-                or len(self.held) + len(self.recovering) < self.settings.limits.most_held),
-        ))
+        self.post(
+            io.Arrived(
+                call=request.ref,
+                tenant=0,
+                klass=self.class_numbers[request.klass],
+                dest=request.dest,
+                key=request.key,
+                patience=request.patience_ms * MS,
+                storable=self.journal.has_room(request.ref, request.key, len(request.body))
+                and (not self.recovering or len(self.held) + len(self.recovering) < self.settings.limits.most_held),
+            )
+        )
 
     def on_news(self, news: News | None) -> None:
         if news is None:
@@ -566,8 +603,9 @@
             self._end_if_idle()
         self.lag.round_ends(time.monotonic_ns())
 
-    def _let_out(self, ends: list[tuple[str, str, int]], newcomers: list[Newcomer], calls: list[net.Ready],
-                 recorded: bool) -> None:
+    def _let_out(
+        self, ends: list[tuple[str, str, int]], newcomers: list[Newcomer], calls: list[net.Ready], recorded: bool
+    ) -> None:
         """What a turn has decided, on record or not: notices of ends are owed in any case."""
         self.unreleased -= 1
         if self.closed:
@@ -607,8 +645,7 @@
                 newcomer.reply.busy(0)
                 self.post(io.Withdrawn(ref))
                 continue
-            self.journal.taken(
-                Entry(ref, request.klass, request.dest, request.key, newcomer.deadline, request.body))
+            self.journal.taken(Entry(ref, request.klass, request.dest, request.key, newcomer.deadline, request.body))
             self.held[ref] = Held(ref, request.klass, request.key, request.body, newcomer.ends_at)
             noted.append(newcomer)
         return noted
@@ -723,8 +760,9 @@
         message.over = True
         if self.untried.on_end(message.ref, time.monotonic_ns() >= message.ends_at - NEAR_END):
             log.info("%s", self.untried)
-        by_class = self.counts.served if result is None else (
-            self.counts.failed if result == "dead" else self.counts.refused)
+        by_class = (
+            self.counts.served if result is None else (self.counts.failed if result == "dead" else self.counts.refused)
+        )
         by_class[message.klass] += 1
         told = result or tell
         self.journal.ended(message.ref, told, wait_ms)
--- a/garnetrelay/store/format.py
+++ b/garnetrelay/store/format.py
@@ -99,12 +99,27 @@
 
 
 def _known(entry: Entry) -> tuple[Any, ...]:
-    return (entry.ref, entry.klass, entry.dest, entry.key, entry.deadline, entry.body, entry.attempts, entry.trying_at,
-            entry.trying_zone, entry.ran_at, entry.ran_zone, entry.ended, entry.wait_ms, entry.uncertain)
+    return (
+        entry.ref,
+        entry.klass,
+        entry.dest,
+        entry.key,
+        entry.deadline,
+        entry.body,
+        entry.attempts,
+        entry.trying_at,
+        entry.trying_zone,
+        entry.ran_at,
+        entry.ran_zone,
+        entry.ended,
+        entry.wait_ms,
+        entry.uncertain,
+    )
 
 
 # ---- writing
 
+
 def header(number: int) -> bytes:
     head = HEADER.pack(MAGIC, VERSION, number, 0)[:-4]
     return head + zlib.crc32(head).to_bytes(4, "big")
@@ -123,9 +138,17 @@
 def state(entry: Entry) -> bytes:
     """Its whole state. A result that the format has no number for does not occur."""
     trying, ran = entry.trying_zone.encode(), entry.ran_zone.encode()
-    flags = (TRYING * (entry.trying_at is not None) + RAN * (entry.ran_at is not None) + UNCERTAIN * entry.uncertain)
-    more = _STATE.pack(min(entry.attempts, 0xFFFF), flags, entry.trying_at or 0, entry.ran_at or 0, len(trying), len(ran),
-                       RESULTS.index(entry.ended or ""), min(entry.wait_ms, 0xFFFFFFFF))
+    flags = TRYING * (entry.trying_at is not None) + RAN * (entry.ran_at is not None) + UNCERTAIN * entry.uncertain
+    more = _STATE.pack(
+        min(entry.attempts, 0xFFFF),
+        flags,
+        entry.trying_at or 0,
+        entry.ran_at or 0,
+        len(trying),
+        len(ran),
+        RESULTS.index(entry.ended or ""),
+        min(entry.wait_ms, 0xFFFFFFFF),
+    )
     return pack(Kind.STATE, more + trying + ran + _entry(entry))
 
 
@@ -159,18 +182,24 @@
 def _entry(entry: Entry) -> bytes:
     ref, klass = entry.ref.encode(), entry.klass.encode()
     key = b"" if entry.key is None else entry.key.encode()
-    return _ENTRY.pack(entry.deadline, entry.dest, len(ref), len(klass), NO_KEY if entry.key is None else len(key)) \
-        + ref + klass + key + entry.body
+    return (
+        _ENTRY.pack(entry.deadline, entry.dest, len(ref), len(klass), NO_KEY if entry.key is None else len(key))
+        + ref
+        + klass
+        + key
+        + entry.body
+    )
 
 
 # ---- reading
 
+
 def number_of(data: bytes) -> int | None:
     """A segment's own number; None where its header can't be read. LaterVersion for one of a later format."""
     if len(data) < HEADER.size:
         return None
     magic, version, number, checksum = HEADER.unpack_from(data)
-    if magic != MAGIC or zlib.crc32(data[:HEADER.size - 4]) != checksum:
+    if magic != MAGIC or zlib.crc32(data[: HEADER.size - 4]) != checksum:
         return None
     if version > VERSION:
         raise LaterVersion(f"segment {number} has format {version}, and this program knows {VERSION}")
@@ -222,12 +251,12 @@
             return _read_entry(payload)
         attempts, flags, trying_at, ran_at, trying_size, ran_size, result, wait = _STATE.unpack_from(payload)
         at = _STATE.size
-        entry = _read_entry(payload[at + trying_size + ran_size:])
+        entry = _read_entry(payload[at + trying_size + ran_size :])
         entry.attempts = attempts
         entry.trying_at = trying_at if flags & TRYING else None
-        entry.trying_zone = payload[at:at + trying_size].decode()
+        entry.trying_zone = payload[at : at + trying_size].decode()
         entry.ran_at = ran_at if flags & RAN else None
-        entry.ran_zone = payload[at + trying_size:at + trying_size + ran_size].decode()
+        entry.ran_zone = payload[at + trying_size : at + trying_size + ran_size].decode()
         entry.ended = RESULTS[result] or None
         entry.wait_ms = wait
         entry.uncertain = bool(flags & UNCERTAIN)
@@ -239,13 +268,13 @@
 def _read_entry(payload: bytes) -> Entry:
     deadline, dest, ref_size, klass_size, key_size = _ENTRY.unpack_from(payload)
     at = _ENTRY.size
-    ref = payload[at:at + ref_size].decode()
+    ref = payload[at : at + ref_size].decode()
     at += ref_size
-    klass = sys.intern(payload[at:at + klass_size].decode())  # a few names, in every message
+    klass = sys.intern(payload[at : at + klass_size].decode())  # a few names, in every message
     at += klass_size
     key = None
     if key_size != NO_KEY:
-        key = payload[at:at + key_size].decode()
+        key = payload[at : at + key_size].decode()
         at += key_size
     return Entry(ref, klass, dest, key, deadline, payload[at:])
 
@@ -255,8 +284,11 @@
     try:
         size, at, zone_size = _TRY.unpack_from(record.payload)
         start = _TRY.size
-        return (record.payload[start:start + size].decode(), at,
-                record.payload[start + size:start + size + zone_size].decode())
+        return (
+            record.payload[start : start + size].decode(),
+            at,
+            record.payload[start + size : start + size + zone_size].decode(),
+        )
     except (struct.error, UnicodeDecodeError) as error:
         raise FormatError(str(error)) from None
 
@@ -264,7 +296,7 @@
 def read_outcome(record: Record) -> tuple[str, bool]:
     try:
         size, ran = _OUTCOME.unpack_from(record.payload)
-        return record.payload[_OUTCOME.size:_OUTCOME.size + size].decode(), bool(ran)
+        return record.payload[_OUTCOME.size : _OUTCOME.size + size].decode(), bool(ran)
     except (struct.error, UnicodeDecodeError) as error:
         raise FormatError(str(error)) from None
 
@@ -272,7 +304,7 @@
 def read_ended(record: Record) -> tuple[str, str, int]:
     try:
         size, result, wait = _ENDED.unpack_from(record.payload)
-        return record.payload[_ENDED.size:_ENDED.size + size].decode(), RESULTS[result], wait
+        return record.payload[_ENDED.size : _ENDED.size + size].decode(), RESULTS[result], wait
     except (struct.error, UnicodeDecodeError, IndexError) as error:
         raise FormatError(str(error)) from None
 
--- a/garnetrelay/store/legacy.py
+++ b/garnetrelay/store/legacy.py
@@ -67,7 +67,7 @@
     if at + HEAD.size > len(data):
         return None
     mark, length, checksum = HEAD.unpack_from(data, at)
-    payload = data[at + HEAD.size:at + HEAD.size + length]
+    payload = data[at + HEAD.size : at + HEAD.size + length]
     if mark != MARK or length > MOST_PAYLOAD or len(payload) < length or zlib.crc32(payload) != checksum:
         return None
     return payload
--- a/garnetrelay/store/storage.py
+++ b/garnetrelay/store/storage.py
@@ -131,7 +131,7 @@
     def append(self, handle: int, data: bytes) -> None:
         view = memoryview(data)
         while view:
-            view = view[os.write(handle, view):]
+            view = view[os.write(handle, view) :]
 
     def truncate(self, handle: int, size: int) -> None:
         os.ftruncate(handle, size)
--- a/garnetrelay/store/store.py
+++ b/garnetrelay/store/store.py
@@ -71,8 +71,9 @@
 class Store:
     """Appends records, keeps the live entries, and makes room. One thread uses it."""
 
-    def __init__(self, storage: Storage, disk_bytes: int, machine: bool = False, ahead: Ahead | None = None,
-                 tries: int = TRIES) -> None:
+    def __init__(
+        self, storage: Storage, disk_bytes: int, machine: bool = False, ahead: Ahead | None = None, tries: int = TRIES
+    ) -> None:
         self.storage = storage
         self.machine = machine  # on record is what outlasts the machine's power, not only this process
         self.wake: Callable[[], None] | None = None  # tells whoever syncs that something waits for it
@@ -104,8 +105,15 @@
         self.index.allow(tries)
 
     @classmethod
-    def open(cls, folder: Path, disk_bytes: int, machine: bool = False, claim: int | None = None,
-             ahead: Ahead | None = None, tries: int = TRIES) -> Store:
+    def open(
+        cls,
+        folder: Path,
+        disk_bytes: int,
+        machine: bool = False,
+        claim: int | None = None,
+        ahead: Ahead | None = None,
+        tries: int = TRIES,
+    ) -> Store:
         """The store of a folder, claimed for this process unless a claim was handed to it. ``ahead``: what was read
         of it before; ``tries``: attempts that a message may have."""
         door = Folder(folder)
@@ -405,7 +413,8 @@
     def _next_victim(self) -> int | None:
         kept = self._tainted if self._doubted else set()
         return cleaning.next_victim(
-            (segment for number, segment in self.index.segments.items() if number not in kept), self._active.number)
+            (segment for number, segment in self.index.segments.items() if number not in kept), self._active.number
+        )
 
     def _say_doubts(self, most: int) -> None:
         """Damage makes messages uncertain that have no record in the damaged segment. Once it is gone nothing would
@@ -574,8 +583,9 @@
         if old is not None or legacy.SPARE in names:
             self._take_over(old)
 
-    def _replay(self, number: int, data: bytes, whole: bool, newest: bool,
-                start: int | None = None) -> tuple[int, int] | None:
+    def _replay(
+        self, number: int, data: bytes, whole: bool, newest: bool, start: int | None = None
+    ) -> tuple[int, int] | None:
         """Take in a segment, or what it has from a place on. The newest may end in what a stop cut off: where, and how
         many records come before."""
         if start is None:
--- a/garnetrelay/untried.py
+++ b/garnetrelay/untried.py
@@ -48,5 +48,7 @@
         return not self._left
 
     def __str__(self) -> str:
-        return (f"{self.found} found untried: {self.tried} tried, with no call {self.late} ended at their time and "
-                f"{self.early} before, {len(self._left)} left")
+        return (
+            f"{self.found} found untried: {self.tried} tried, with no call {self.late} ended at their time and "
+            f"{self.early} before, {len(self._left)} left"
+        )
--- a/garnetrelay/upgrade/give.py
+++ b/garnetrelay/upgrade/give.py
@@ -134,8 +134,10 @@
         ours, theirs = resident(os.getpid()), resident(channel.peer[0])
         held = sum(len(message.body) + OVER_BODY for message in relay.held.values())
         if not p.bears(relay.config.memory_bytes, ours, theirs, held):
-            return (f"{relay.config.memory_bytes >> 20} MB do not bear both processes: this one has {ours >> 20}, the "
-                    f"new one {theirs >> 20}, and needs {held >> 20} more")
+            return (
+                f"{relay.config.memory_bytes >> 20} MB do not bear both processes: this one has {ours >> 20}, the "
+                f"new one {theirs >> 20}, and needs {held >> 20} more"
+            )
         return ""
 
     async def _readable(self, channel: Channel, patience: float) -> None:
@@ -171,7 +173,8 @@
     def _unquiet(self) -> bool:
         relay = self.relay
         return bool(relay.turn_due or relay.unreleased or relay.hosts.opening) or any(
-            exchange.connection is None or not exchange.connection.can_pass for _, exchange in _out(relay.held.values()))
+            exchange.connection is None or not exchange.connection.can_pass for _, exchange in _out(relay.held.values())
+        )
 
     def _settled(self) -> bool:
         """The last turns; whether all that they decided is on record. From here on nothing waits for the loop."""
@@ -203,16 +206,32 @@
                 for one in clients:
                     one.let_go()
             for idle in _batches(relay.hosts.passing()):
-                channel.send(p.IdleHosts([p.Idle(one.host, one.address.host, one.address.port) for one in idle]),
-                             _descriptors(idle))
+                channel.send(
+                    p.IdleHosts([p.Idle(one.host, one.address.host, one.address.port) for one in idle]),
+                    _descriptors(idle),
+                )
                 for connection in idle:
                     connection.let_go()
             for calls in _batches(_passing(relay.held.values())):
                 connections = [connection for _, _, connection in calls]
-                channel.send(p.Calls([
-                    p.Out(message.ref, connection.host, connection.address.host, connection.address.port,
-                          message.zone, message.sent_at, exchange.stop_at, connection.used)
-                    for message, exchange, connection in calls]), _descriptors(connections))
+                channel.send(
+                    p.Calls(
+                        [
+                            p.Out(
+                                message.ref,
+                                connection.host,
+                                connection.address.host,
+                                connection.address.port,
+                                message.zone,
+                                message.sent_at,
+                                exchange.stop_at,
+                                connection.used,
+                            )
+                            for message, exchange, connection in calls
+                        ]
+                    ),
+                    _descriptors(connections),
+                )
                 for connection in connections:
                     connection.let_go()
             channel.send(p.End())
@@ -232,10 +251,26 @@
         endpoints = []
         for name, entry in relay.listed.items():
             address = relay.hosts.addresses[name]
-            endpoints.append(p.Endpoint(name, entry.zone, entry.kind, entry.dest, entry.availability.value, entry.rate,
-                                        address.host, address.port))
-        return p.State(relay.discovery.index, str(relay.config.discovery), endpoints, list(relay.gone),
-                       remember(relay.pacer), None if relay.fleet is None else relay.fleet.passing())
+            endpoints.append(
+                p.Endpoint(
+                    name,
+                    entry.zone,
+                    entry.kind,
+                    entry.dest,
+                    entry.availability.value,
+                    entry.rate,
+                    address.host,
+                    address.port,
+                )
+            )
+        return p.State(
+            relay.discovery.index,
+            str(relay.config.discovery),
+            endpoints,
+            list(relay.gone),
+            remember(relay.pacer),
+            None if relay.fleet is None else relay.fleet.passing(),
+        )
 
     # ---- behind it
 
@@ -308,7 +343,7 @@
 def _batches(found: Iterable[T]) -> Iterator[list[T]]:
     every = list(found)
     for start in range(0, len(every), BATCH):
-        yield every[start:start + BATCH]
+        yield every[start : start + BATCH]
 
 
 def _descriptors(connections: Iterable[front.Connection] | Iterable[net.Connection]) -> list[int]:
--- a/garnetrelay/upgrade/protocol.py
+++ b/garnetrelay/upgrade/protocol.py
@@ -130,7 +130,7 @@
     """The new process stops as it was told to."""
 
 
-Frame = (Hello | Refused | State | Clients | IdleHosts | Calls | End | Taken | Exclude | Done | Bye)
+Frame = Hello | Refused | State | Clients | IdleHosts | Calls | End | Taken | Exclude | Done | Bye
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Frame)
--- a/garnetrelay/upgrade/take.py
+++ b/garnetrelay/upgrade/take.py
@@ -44,8 +44,12 @@
 
     def discard(self) -> None:
         """Let go of all: the other side died before it had sent everything."""
-        for connection in (self.listener, *(s for _, s in self.clients), *(s for _, s in self.idle),
-                           *(s for _, s in self.calls.values())):
+        for connection in (
+            self.listener,
+            *(s for _, s in self.clients),
+            *(s for _, s in self.idle),
+            *(s for _, s in self.calls.values()),
+        ):
             connection.close()
         os.close(self.claim)
         self.channel.close()
@@ -113,8 +117,7 @@
         case p.IdleHosts(hosts):
             found.idle += zip(hosts, sockets, strict=True)
         case p.Calls(calls):
-            found.calls.update((call.ref, (call, connection))
-                               for call, connection in zip(calls, sockets, strict=True))
+            found.calls.update((call.ref, (call, connection)) for call, connection in zip(calls, sockets, strict=True))
     return found
 
 
--- a/starlingwick/memory.py
+++ b/starlingwick/memory.py
@@ -14,9 +14,28 @@
 
 VERSION = 1
 
-DESTINATION = ("agreed", "listed", "reports", "ceiling", "ceiling_at", "cut_at", "next_call", "mean",
-               "wait_until", "rest", "rest_until", "pause_at", "refused_from", "bad", "bad_from", "bad_at",
-               "out", "ramp_from", "part", "next_at")
+DESTINATION = (
+    "agreed",
+    "listed",
+    "reports",
+    "ceiling",
+    "ceiling_at",
+    "cut_at",
+    "next_call",
+    "mean",
+    "wait_until",
+    "rest",
+    "rest_until",
+    "pause_at",
+    "refused_from",
+    "bad",
+    "bad_from",
+    "bad_at",
+    "out",
+    "ramp_from",
+    "part",
+    "next_at",
+)
 MARKS = ("refusals", "sent", "arrived", "served")  # times, oldest first
 HOST = ("gap", "last_sent", "last_ok_sent", "bad", "most", "most_until", "retry_at")
 
@@ -29,10 +48,14 @@
         "tenant_due": list(pacer.tenant_due),
         "turn_rest": dict(pacer.turn_rest),
         "destinations": [
-            {**{name: getattr(dest, name) for name in DESTINATION},
-             **{name: list(getattr(dest, name)) for name in MARKS},
-             "hosts": {host.name: {name: getattr(host, name) for name in HOST} for host in dest.hosts}}
-            for routes in pacer.routes.values() for dest in routes if dest.hosts
+            {
+                **{name: getattr(dest, name) for name in DESTINATION},
+                **{name: list(getattr(dest, name)) for name in MARKS},
+                "hosts": {host.name: {name: getattr(host, name) for name in HOST} for host in dest.hosts},
+            }
+            for routes in pacer.routes.values()
+            for dest in routes
+            if dest.hosts
         ],
     }
 
--- a/starlingwick/wirehost.py
+++ b/starlingwick/wirehost.py
@@ -260,6 +260,7 @@
         if not pacer.settings.limits.peers or pacer.settings.relays < 2:
             return
         from garnetrelay.fleet.mail import Mail  # off costs nothing
+
         told = json.loads(facts)
         me, price = told.get("me"), told.get("prices", {}).get("peer", 0)
         if not isinstance(me, int) or not 0 <= me < pacer.settings.relays:
@@ -280,6 +281,7 @@
 
     def _note(self, instance: int, replies: list[Any]) -> None:
         from garnetrelay.fleet.mail import Line, Post
+
         lines = self.notes.setdefault(instance, [])
         for reply in replies:
             if isinstance(reply, Post):
--- a/tests/corpus/world.py
+++ b/tests/corpus/world.py
@@ -78,8 +78,7 @@
     Scenario("clumps", 16, clumps=0.5, rate=120, slots=12, most_held=100),
     Scenario("few-slots", 17, slots=2, rate=30, dests=5, shut=0.2, most_held=40),
     Scenario("one-dest", 18, dests=1, rate=40, limited=1.0, most_held=60, slots=12),
-    Scenario("all-troubles", 19, shut=0.2, hang=0.2, errors=0.2, resets=0.2, drains=True, recovered=30,
-             rate=110),
+    Scenario("all-troubles", 19, shut=0.2, hang=0.2, errors=0.2, resets=0.2, drains=True, recovered=30, rate=110),
     Scenario("all-troubles-apart", 20, apart=1.0, shut=0.3, hang=0.3, errors=0.2, rate=120, most_held=90),
     Scenario("wide", 21, dests=50, rate=150, slots=24, most_held=200, shut=0.2, hang=0.1),
     Scenario("stopping-in-turn", 22, stops=True, in_turn=True, shut=0.2, rate=80, recovered=20),
@@ -87,34 +86,72 @@
 LARGE = [
     Scenario("large-overload", 31, seconds=8, rate=1500, slots=64, most_held=3000, dests=40, limited=0.3),
     Scenario("large-shut", 32, seconds=10, rate=800, slots=128, most_held=3000, dests=6, shut=0.6),
-    Scenario("large-burst", 33, seconds=8, rate=600, slots=128, most_held=2500, dests=3, limited=0.0,
-             clumps=3),
+    Scenario("large-burst", 33, seconds=8, rate=600, slots=128, most_held=2500, dests=3, limited=0.0, clumps=3),
     Scenario("large-by-half", 34, seconds=8, rate=1200, slots=64, most_held=2000, dests=20, by_half=True),
     Scenario("large-in-turn", 35, seconds=8, rate=600, slots=64, most_held=1500, dests=10, in_turn=True),
     Scenario("large-wide", 36, seconds=6, rate=1500, slots=96, most_held=3000, dests=400, shut=0.2),
-    Scenario("large-troubles", 37, seconds=8, rate=900, slots=96, most_held=2500, dests=30, shut=0.2,
-             hang=0.2, errors=0.2, resets=0.1),
+    Scenario(
+        "large-troubles",
+        37,
+        seconds=8,
+        rate=900,
+        slots=96,
+        most_held=2500,
+        dests=30,
+        shut=0.2,
+        hang=0.2,
+        errors=0.2,
+        resets=0.1,
+    ),
 ]
 
 
 def settings(s: Scenario) -> io.Settings:
     def klass(repeat: io.Repeat, aim: float, deadline: float, worth: float, late: float) -> io.MessageClass:
-        return io.MessageClass(round(aim * S), round(deadline * S), worth, late, repeat, io.Scope.ZONE,
-                               6 * S, s.in_turn)
+        return io.MessageClass(round(aim * S), round(deadline * S), worth, late, repeat, io.Scope.ZONE, 6 * S, s.in_turn)
 
     return io.Settings(
-        relays=2, slots=s.slots, tick=TICK, zone=0, discovery=io.Discovery.AUTOMATIC, listed_rates=True,
+        relays=2,
+        slots=s.slots,
+        tick=TICK,
+        zone=0,
+        discovery=io.Discovery.AUTOMATIC,
+        listed_rates=True,
         decay=io.Decay.BY_HALF if s.by_half else io.Decay.EVEN,
-        classes=(klass(io.Repeat.KEYED, 2.5, 12, 1, 0.3), klass(io.Repeat.SAFE, 1, 8, 2, 0.1),
-                 klass(io.Repeat.UNSAFE, 2, 12, 5, 0.5)),
+        classes=(
+            klass(io.Repeat.KEYED, 2.5, 12, 1, 0.3),
+            klass(io.Repeat.SAFE, 1, 8, 2, 0.1),
+            klass(io.Repeat.UNSAFE, 2, 12, 5, 0.5),
+        ),
         kinds=(io.Kind(False, s.per_call), io.Kind(True, s.per_call)),
-        tenant_rates=(20.0, 500.0) if s.tenants else (), over_share_worth=0.1, zone_fees=(0.0, 0.03),
-        refused_price=0.0, prices={},
-        rules=io.Rules(answer_slack=250 * MS, ask_every=10 * S, drain_grace=S, fall=3 * S, fall_multiple=2.0,
-                       ramp_time=10 * S, start_capacity=0.2, turn_gap=S if s.in_turn else 0),
-        limits=io.Limits(cancel=True, probes=s.probes, peers=False, second_copies=False,
-                         retry_after=s.retry_after, most_held=s.most_held, most_tries=6,
-                         max_retry_after=2 * S, connect_timeout=S, conn_idle=10 * S))
+        tenant_rates=(20.0, 500.0) if s.tenants else (),
+        over_share_worth=0.1,
+        zone_fees=(0.0, 0.03),
+        refused_price=0.0,
+        prices={},
+        rules=io.Rules(
+            answer_slack=250 * MS,
+            ask_every=10 * S,
+            drain_grace=S,
+            fall=3 * S,
+            fall_multiple=2.0,
+            ramp_time=10 * S,
+            start_capacity=0.2,
+            turn_gap=S if s.in_turn else 0,
+        ),
+        limits=io.Limits(
+            cancel=True,
+            probes=s.probes,
+            peers=False,
+            second_copies=False,
+            retry_after=s.retry_after,
+            most_held=s.most_held,
+            most_tries=6,
+            max_retry_after=2 * S,
+            connect_timeout=S,
+            conn_idle=10 * S,
+        ),
+    )
 
 
 @dataclasses.dataclass
@@ -157,14 +194,15 @@
             limit = draw.uniform(3, 2.5 * s.rate / s.dests + 4) if draw.random() < s.limited else 0.0
             trouble = draw.choices(
                 ["shut", "hang", "errors", "resets", ""],
-                [s.shut, s.hang, s.errors, s.resets, max(0.0, 1 - s.shut - s.hang - s.errors - s.resets)])[0]
+                [s.shut, s.hang, s.errors, s.resets, max(0.0, 1 - s.shut - s.hang - s.errors - s.resets)],
+            )[0]
             begins = START + round(draw.uniform(0.1, 0.5) * s.seconds * S)
             self.weights.append(1 / (dest + 1))
             for n in range(draw.choice([1, 2, 2, 3])):
                 entry = io.HostEntry(f"h{dest}.{n}", n % 2, kind, dest, io.Availability.RUNNING, limit)
                 self.servers[entry.host] = Server(
-                    entry, draw.uniform(0.05, 0.4), limit, trouble, begins,
-                    begins + round(draw.uniform(2, 7) * S))
+                    entry, draw.uniform(0.05, 0.4), limit, trouble, begins, begins + round(draw.uniform(2, 7) * S)
+                )
         self.at(START, io.Roster(io.ListScope.WHOLE, tuple(v.entry for v in self.servers.values())))
         if s.drains:
             for name in draw.sample(sorted(self.servers), max(2, len(self.servers) // 4)):
@@ -196,8 +234,19 @@
             name = self._name()
             attempts = draw.randrange(0, 5) if ran is None else draw.randrange(1, 7)
             self.attempts[name] = attempts - 1
-            self.at(START, io.Recovered(name, draw.randrange(3), dest, f"k{draw.randrange(20)}",
-                                        round(draw.uniform(-1, 8) * S), attempts, ran, draw.randrange(2)))
+            self.at(
+                START,
+                io.Recovered(
+                    name,
+                    draw.randrange(3),
+                    dest,
+                    f"k{draw.randrange(20)}",
+                    round(draw.uniform(-1, 8) * S),
+                    attempts,
+                    ran,
+                    draw.randrange(2),
+                ),
+            )
         drawn: list[tuple[int, int, int, str, int]] = []
         when = 0.0
         while when < s.seconds:
@@ -210,8 +259,10 @@
                 at = START + round((when + draw.uniform(0, 0.2) * (many > 1)) * S)
                 drawn.append((at, klass, dest, f"k{draw.randrange(20)}", patience))
         for at, klass, dest, key, patience in sorted(drawn):
-            self.at(at, io.Arrived(self._name(), draw.randrange(2), klass, dest, key, patience,
-                                   storable=draw.random() > 0.002))
+            self.at(
+                at,
+                io.Arrived(self._name(), draw.randrange(2), klass, dest, key, patience, storable=draw.random() > 0.002),
+            )
 
     # ---- what the Pacer does, and what comes of it
 
@@ -230,7 +281,7 @@
         for host, sends in calls.items():
             size = self.scenario.per_call
             for first in range(0, len(sends), size):
-                self._call(now, self.servers[host], sends[first:first + size])
+                self._call(now, self.servers[host], sends[first : first + size])
 
     def _call(self, now: int, server: Server, sends: list[io.Send]) -> None:
         status, took, wait = self._answer(now, server, min(send.stop_at for send in sends))
@@ -238,9 +289,20 @@
         if server.limit and self.random.random() < 0.7:
             report = io.Report(max(0.0, server.allowance / (2 * server.limit)), server.limit)
         for send in sends:
-            self.at(now + took, io.Verdict(
-                send.call, self.attempts[send.call], send.host, status, took, status is io.Status.OK, wait,
-                False, report if status in (io.Status.OK, io.Status.FULL) else None))
+            self.at(
+                now + took,
+                io.Verdict(
+                    send.call,
+                    self.attempts[send.call],
+                    send.host,
+                    status,
+                    took,
+                    status is io.Status.OK,
+                    wait,
+                    False,
+                    report if status in (io.Status.OK, io.Status.FULL) else None,
+                ),
+            )
 
     def _answer(self, now: int, server: Server, stop_at: int) -> tuple[io.Status, int, int]:
         """Outcome, nanoseconds until it comes, told wait."""
@@ -284,6 +346,7 @@
 
 # ---- recordings
 
+
 def encode(value: Any) -> Any:
     """A JSON form of events and actions: a list with the type's name first, an enumeration as its name."""
     if isinstance(value, enum.Enum):
--- a/tests/delivery/test_answers.py
+++ b/tests/delivery/test_answers.py
@@ -42,8 +42,10 @@
     assert read(pieces) == read([answer])
 
 
-@pytest.mark.parametrize(("answer", "keep"), [(ANSWERS[1], True), (ANSWERS[2], True), (ANSWERS[4], False),
-                                              (ANSWERS[5], False), (ANSWERS[8], False)])
+@pytest.mark.parametrize(
+    ("answer", "keep"),
+    [(ANSWERS[1], True), (ANSWERS[2], True), (ANSWERS[4], False), (ANSWERS[5], False), (ANSWERS[8], False)],
+)
 def test_whole_answer_keeps_its_connection_only_with_nothing_behind_it(answer: bytes, keep: bool) -> None:
     outcome, complete, kept, broken, _ = read([answer])
     assert outcome is not None and complete and kept is keep and not broken
--- a/tests/fleet/explore.py
+++ b/tests/fleet/explore.py
@@ -71,11 +71,22 @@
 def _key(holding: Holding) -> tuple[Any, ...]:
     own = holding.own
     others = sorted(
-        (_short(member.claim), member.suspicion and (
-            member.suspicion.began, member.suspicion.members, tuple(sorted(member.suspicion.by))))
-        for member in holding.table)
-    return (_short(own.claim), own.claim.born, own.named, own.left, own.wanted, own.aside and _short(own.aside),
-            tuple(others), frozenset(holding.suspects))
+        (
+            _short(member.claim),
+            member.suspicion and (member.suspicion.began, member.suspicion.members, tuple(sorted(member.suspicion.by))),
+        )
+        for member in holding.table
+    )
+    return (
+        _short(own.claim),
+        own.claim.born,
+        own.named,
+        own.left,
+        own.wanted,
+        own.aside and _short(own.aside),
+        tuple(others),
+        frozenset(holding.suspects),
+    )
 
 
 def clone(holding: Holding, kinds: Kinds, older: int = 0) -> Holding:
@@ -92,7 +103,8 @@
     for member in made.table:
         if member.suspicion is not None:
             member.suspicion = Suspicion(
-                member.suspicion.began - older, member.suspicion.members, set(member.suspicion.by))
+                member.suspicion.began - older, member.suspicion.members, set(member.suspicion.by)
+            )
     return made
 
 
@@ -110,8 +122,13 @@
     Holdings that are alike are one, and what becomes of one is worked out once: a state is a few numbers.
     """
 
-    def __init__(self, bounds: Bounds, kinds: Kinds = PLAIN, keep: Callable[[int, int], int] = max,
-                 first_life: Callable[[int], int] = lambda folder: folder + 1) -> None:
+    def __init__(
+        self,
+        bounds: Bounds,
+        kinds: Kinds = PLAIN,
+        keep: Callable[[int, int], int] = max,
+        first_life: Callable[[int], int] = lambda folder: folder + 1,
+    ) -> None:
         self.kinds = kinds
         self.keep = keep  # the folder's life from what it was and what is to be kept
         self.first_life = first_life
@@ -196,9 +213,11 @@
 
     def hears(self, holding: int, text: int) -> int:
         """A frame came."""
+
         def hear(made: Holding) -> None:
             for claim in self._texts[text]:
                 made.hear(0, claim)
+
         return self.after(holding, ("hears", text), hear)
 
     def suspects(self, holding: int, name: str) -> int:
@@ -208,6 +227,7 @@
 
     def older(self, holding: int) -> int:
         """A step has passed."""
+
         def judge(made: Holding) -> None:
             before = {name: (member.claim, member.suspicion) for name, member in made.table.members.items()}
             made.judge(0, 0)
@@ -220,6 +240,7 @@
                 others = {by for by in suspicion.by if by in NAMES and by != claim.by}
                 if -suspicion.began < SETTINGS.suspicion_time(suspicion.members, len(others)):
                     raise Broken("a member is failed without its time to speak up", "a step passes")
+
         return self.after(holding, ("older",), judge, 1)
 
     def keeps(self, holding: int) -> int:
@@ -237,17 +258,32 @@
                 if site.starts < left.starts:
                     yield f"{name} starts", self.with_site(world, number, self.begun(number, site, False))
                     if left.lost_folders:
-                        yield f"{name} starts without its folder", self.with_site(
-                            world, number, self.begun(number, site, True))._replace(
-                                bounds=left._replace(lost_folders=left.lost_folders - 1))
+                        yield (
+                            f"{name} starts without its folder",
+                            self.with_site(world, number, self.begun(number, site, True))._replace(
+                                bounds=left._replace(lost_folders=left.lost_folders - 1)
+                            ),
+                        )
                 continue
             holding = self.met[site.holding]
             if left.kills:
-                yield f"{name} is killed", self.with_site(world, number, site._replace(holding=-1))._replace(
-                    bounds=left._replace(kills=left.kills - 1))
+                yield (
+                    f"{name} is killed",
+                    self.with_site(world, number, site._replace(holding=-1))._replace(
+                        bounds=left._replace(kills=left.kills - 1)
+                    ),
+                )
             if holding.own.wanted and not holding.own.left:
-                yield f"{name} keeps life {holding.own.wanted}", self.with_site(world, number, site._replace(
-                    folder=self.keep(site.folder, holding.own.wanted), holding=self.keeps(site.holding)))
+                yield (
+                    f"{name} keeps life {holding.own.wanted}",
+                    self.with_site(
+                        world,
+                        number,
+                        site._replace(
+                            folder=self.keep(site.folder, holding.own.wanted), holding=self.keeps(site.holding)
+                        ),
+                    ),
+                )
             if not holding.own.named:
                 continue
             if len(flying) < left.messages:
@@ -257,24 +293,33 @@
                         yield f"{name} tells {NAMES[to]}", world._replace(flying=tuple(sorted((*flying, (to, said)))))
             if left.suspicions:
                 for other in holding.table.members:
-                    yield f"{name} suspects {other}", self.with_site(world, number, site._replace(
-                        holding=self.suspects(site.holding, other)))._replace(
-                            bounds=left._replace(suspicions=left.suspicions - 1))
+                    yield (
+                        f"{name} suspects {other}",
+                        self.with_site(world, number, site._replace(holding=self.suspects(site.holding, other)))._replace(
+                            bounds=left._replace(suspicions=left.suspicions - 1)
+                        ),
+                    )
             if left.leaves:
                 yield f"{name} leaves", self.leaves(world, number, site)
         for place, (to, text) in enumerate(flying):
             what = f"{self._texts[text][0].name}'s word to {NAMES[to]}"
             once = self.arrives(world, to, text)
-            yield f"arrives: {what}", once._replace(flying=(*flying[:place], *flying[place + 1:]))
+            yield f"arrives: {what}", once._replace(flying=(*flying[:place], *flying[place + 1 :]))
             if left.doubles:
                 yield f"arrives, and will again: {what}", once._replace(bounds=left._replace(doubles=left.doubles - 1))
         if any(site.holding >= 0 and self.met[site.holding].suspects for site in sites):
-            yield "a step passes", world._replace(sites=tuple(
-                site if site.holding < 0 else site._replace(holding=self.older(site.holding)) for site in sites))
+            yield (
+                "a step passes",
+                world._replace(
+                    sites=tuple(
+                        site if site.holding < 0 else site._replace(holding=self.older(site.holding)) for site in sites
+                    )
+                ),
+            )
 
     def with_site(self, world: World, number: int, site: Site) -> World:
         """Another site in a place."""
-        return world._replace(sites=(*world.sites[:number], site, *world.sites[number + 1:]))
+        return world._replace(sites=(*world.sites[:number], site, *world.sites[number + 1 :]))
 
     def begun(self, number: int, site: Site, lost: bool) -> Site:
         """A new process."""
@@ -291,7 +336,8 @@
         if len(flying) < world.bounds.messages:
             flying = tuple(sorted((*flying, ((number + 1) % len(NAMES), self.text((claim,))))))
         return self.with_site(world, number, site._replace(holding=-1))._replace(
-            flying=flying, bounds=world.bounds._replace(leaves=world.bounds.leaves - 1))
+            flying=flying, bounds=world.bounds._replace(leaves=world.bounds.leaves - 1)
+        )
 
     def arrives(self, world: World, to: int, text: int) -> World:
         """A frame reaches whoever is there now."""
@@ -339,17 +385,29 @@
                 raise Broken("a life that failed or left comes back")
             if later.claim.identity < claim.identity:
                 raise Broken("an earlier life takes the place of a later one")
-        if any(other.claim.status is Status.SUSPECT and (other.suspicion is None or name not in new.suspects)
-               for name, other in new.table.members.items()):
+        if any(
+            other.claim.status is Status.SUSPECT and (other.suspicion is None or name not in new.suspects)
+            for name, other in new.table.members.items()
+        ):
             raise Broken("a suspicion has no end")
 
     def in_peace(self, live: list[int]) -> dict[str, Identity]:
         """The lives of which nobody knows anything that ends them."""
         held = [self.met[number] for number in live]
-        return {one.name: one.own.claim.identity for one in held if one.own.named and not any(
-            (member := other.table.get(one.name)) is not None and (
-                member.claim.identity > one.own.claim.identity
-                or member.claim.identity == one.own.claim.identity and member.claim.final) for other in held)}
+        return {
+            one.name: one.own.claim.identity
+            for one in held
+            if one.own.named
+            and not any(
+                (member := other.table.get(one.name)) is not None
+                and (
+                    member.claim.identity > one.own.claim.identity
+                    or member.claim.identity == one.own.claim.identity
+                    and member.claim.final
+                )
+                for other in held
+            )
+        }
 
     def heal(self, world: World) -> None:
         """Links whole from here on, and nothing else happens: each keeps its life, tells all, and probes."""
@@ -393,8 +451,9 @@
         for holding in held:
             if not holding.own.named:
                 raise Broken("links are whole, and a relay never gets its name", "links are whole")
-            inside = {(name, member.claim.identity, member.claim.status)
-                      for name, member in holding.table.members.items()}
+            inside = {
+                (name, member.claim.identity, member.claim.status) for name, member in holding.table.members.items()
+            }
             if inside != {(other.name, other.own.claim.identity, Status.ALIVE) for other in held if other is not holding}:
                 raise Broken("links are whole, and views do not meet again", "links are whole")
 
@@ -433,6 +492,7 @@
 
     def _nothing(self) -> Any:
         from garnetrelay.fleet.members.table import Change
+
         return Change.NOTHING
 
 
@@ -549,40 +609,59 @@
 
 FAULTS: dict[str, Fault] = {
     "a final word that is not final": Fault(
-        _bounds(suspicions=1), "a life that failed or left comes back", {"kinds": (Holding, Own, NoFinal)}),
+        _bounds(suspicions=1), "a life that failed or left comes back", {"kinds": (Holding, Own, NoFinal)}
+    ),
     "an earlier life taken for news": Fault(
-        _bounds(starts=2, kills=1), "an earlier life takes the place of a later one", {"kinds": (Holding, Own, AnyLife)}),
+        _bounds(starts=2, kills=1), "an earlier life takes the place of a later one", {"kinds": (Holding, Own, AnyLife)}
+    ),
     "two processes of one life not told apart": Fault(
-        _bounds(starts=2, kills=1, lost_folders=1), "links are whole, and views do not meet again",
-        {"kinds": (Holding, Own, NoProcess)}),
+        _bounds(starts=2, kills=1, lost_folders=1),
+        "links are whole, and views do not meet again",
+        {"kinds": (Holding, Own, NoProcess)},
+    ),
     "one voice counted twice": Fault(
-        _bounds(suspicions=1), "a member is failed without its time to speak up", {"kinds": (Holding, Own, OneVoice)}),
+        _bounds(suspicions=1), "a member is failed without its time to speak up", {"kinds": (Holding, Own, OneVoice)}
+    ),
     "a suspected relay that does not speak up": Fault(
-        _bounds(suspicions=1), "links are whole, and a relay that answers is failed", {"kinds": (Holding, Mute, Table)}),
+        _bounds(suspicions=1), "links are whole, and a relay that answers is failed", {"kinds": (Holding, Mute, Table)}
+    ),
     "a relay that speaks on after its life has ended": Fault(
-        _bounds(suspicions=1), "a relay speaks on in a life that it knows has ended",
-        {"kinds": (Holding, SpeaksOn, Table)}),
+        _bounds(suspicions=1),
+        "a relay speaks on in a life that it knows has ended",
+        {"kinds": (Holding, SpeaksOn, Table)},
+    ),
     "a life used before it is kept": Fault(
-        _bounds(suspicions=1), "a life is used before it is in the folder", {"kinds": (Holding, Hasty, Table)}),
+        _bounds(suspicions=1), "a life is used before it is in the folder", {"kinds": (Holding, Hasty, Table)}
+    ),
     "a relay that takes no final word on itself": Fault(
-        _bounds(suspicions=1), "links are whole, and views do not meet again", {"kinds": (Holding, Stubborn, Table)}),
+        _bounds(suspicions=1), "links are whole, and views do not meet again", {"kinds": (Holding, Stubborn, Table)}
+    ),
     "a relay that does not stand aside": Fault(
-        _bounds(starts=3, kills=2, lost_folders=1), "a relay speaks beside the process for which it stood aside",
-        {"kinds": (Holding, Pushy, Table)}),
+        _bounds(starts=3, kills=2, lost_folders=1),
+        "a relay speaks beside the process for which it stood aside",
+        {"kinds": (Holding, Pushy, Table)},
+    ),
     "an incarnation that begins anew": Fault(
-        _bounds(suspicions=2), "links are whole, and a relay that answers is failed", {"kinds": (Holding, Back, Table)}),
+        _bounds(suspicions=2), "links are whole, and a relay that answers is failed", {"kinds": (Holding, Back, Table)}
+    ),
     "a judgement before its time": Fault(
-        _bounds(suspicions=1), "a member is failed without its time to speak up", {"kinds": (Rash, Own, Table)}),
+        _bounds(suspicions=1), "a member is failed without its time to speak up", {"kinds": (Rash, Own, Table)}
+    ),
     "a time that a shrinking view cuts short": Fault(
-        _bounds(suspicions=2), "a member is failed without its time to speak up", {"kinds": (Shrinking, Own, Table)}),
+        _bounds(suspicions=2), "a member is failed without its time to speak up", {"kinds": (Shrinking, Own, Table)}
+    ),
     "no judgement at all": Fault(
-        _bounds(kills=1), "links are whole, and views do not meet again", {"kinds": (Silent, Own, Table)}),
+        _bounds(kills=1), "links are whole, and views do not meet again", {"kinds": (Silent, Own, Table)}
+    ),
     "a suspicion that loses its end": Fault(
-        _bounds(suspicions=1), "a suspicion has no end", {"kinds": (Anew, Own, Table)}),
+        _bounds(suspicions=1), "a suspicion has no end", {"kinds": (Anew, Own, Table)}
+    ),
     "a folder that does not count up": Fault(
-        _bounds(starts=2, kills=1), "a life is used twice", {"first_life": lambda folder: max(1, folder)}),
+        _bounds(starts=2, kills=1), "a life is used twice", {"first_life": lambda folder: max(1, folder)}
+    ),
     "a folder that keeps no later life": Fault(
-        _bounds(suspicions=1), "a life is used before it is in the folder", {"keep": lambda was, now: was}),
+        _bounds(suspicions=1), "a life is used before it is in the folder", {"keep": lambda was, now: was}
+    ),
 }
 
 
@@ -592,14 +671,20 @@
     began = time.monotonic()
     explorer = Explorer(bounds)
     broken = explorer.run()
-    print(f"{bounds}\n{explorer.states} states, {explorer.steps} steps, {len(explorer.met)} holdings, views meet from "
-          f"{explorer.healed}, {time.monotonic() - began:.0f} s: {broken or 'all properties hold'}", flush=True)
+    print(
+        f"{bounds}\n{explorer.states} states, {explorer.steps} steps, {len(explorer.met)} holdings, views meet from "
+        f"{explorer.healed}, {time.monotonic() - began:.0f} s: {broken or 'all properties hold'}",
+        flush=True,
+    )
     for name, fault in () if sys.argv[1:] else FAULTS.items():
         began = time.monotonic()
         explorer = Explorer(fault.bounds, **fault.how)
         found = explorer.run()
-        print(f"{name} ({explorer.states} states, {time.monotonic() - began:.1f} s): " + (
-            "NOT FOUND" if found is None else f"{found[0]} ({len(found[1])} steps: {'; '.join(found[1])})"), flush=True)
+        print(
+            f"{name} ({explorer.states} states, {time.monotonic() - began:.1f} s): "
+            + ("NOT FOUND" if found is None else f"{found[0]} ({len(found[1])} steps: {'; '.join(found[1])})"),
+            flush=True,
+        )
     return 0 if broken is None else 1
 
 
--- a/tests/fleet/processes.py
+++ b/tests/fleet/processes.py
@@ -43,18 +43,38 @@
         (self.folder / "options.toml").write_text(
             f'[fleet]\nlisten = "{network.inner(self.name)}"\nadvertise = "{network.outer(self.name)}"\n'
             f'seeds = {json.dumps([network.outer(seed) for seed in self.fleet.seeds])}\nsecret_file = "secret"\n'
-            f"{self.options}")
-        (self.folder / "config.json").write_text(json.dumps({
-            "name": self.name, "listen": f"{network.inner(self.name).rpartition(':')[0]}:0", "discovery": "127.0.0.1:9",
-            "seed": self.name, "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 3}, "settings": FACTS,
-            "known": {"index": 1, "snapshot": True, "endpoints": []}}))
+            f"{self.options}"
+        )
+        (self.folder / "config.json").write_text(
+            json.dumps(
+                {
+                    "name": self.name,
+                    "listen": f"{network.inner(self.name).rpartition(':')[0]}:0",
+                    "discovery": "127.0.0.1:9",
+                    "seed": self.name,
+                    "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+                    "settings": FACTS,
+                    "known": {"index": 1, "snapshot": True, "endpoints": []},
+                }
+            )
+        )
         self.staff = f"{network.inner(self.name).rpartition(':')[0]}:{network.port + 1}"
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "garnetrelay", cwd=ROOT, stdin=asyncio.subprocess.DEVNULL,
-            stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE, env={
-                **os.environ, "RELAY_CONFIG": str(self.folder / "config.json"), "RELAY_OPS": self.staff,
+            sys.executable,
+            "-m",
+            "garnetrelay",
+            cwd=ROOT,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+            env={
+                **os.environ,
+                "RELAY_CONFIG": str(self.folder / "config.json"),
+                "RELAY_OPS": self.staff,
                 "RELAY_STATE": str(self.folder / "state"),
-                "RELAY_OPTIONS": "" if self.off else str(self.folder / "options.toml")})
+                "RELAY_OPTIONS": "" if self.off else str(self.folder / "options.toml"),
+            },
+        )
         self.reading = asyncio.get_running_loop().create_task(self._read(self.process))
 
     async def upgrade(self) -> None:
@@ -133,8 +153,9 @@
         """Start them, and wait until each has settled on one view with all that run."""
         for name in names or self.relays:
             await self.relays[name].start()
-        await self.until(lambda: all(relay.logged("fleet: joining ->") for relay in self.relays.values()
-                                     if relay.process is not None))
+        await self.until(
+            lambda: all(relay.logged("fleet: joining ->") for relay in self.relays.values() if relay.process is not None)
+        )
 
     async def one_view(self) -> None:
         """Wait until all are settled on one view of all that there are; asked again at each line that is logged."""
@@ -142,7 +163,8 @@
             while True:
                 states = [(await relay.members())[0] for relay in self.relays.values()]
                 if len({state.view for state in states}) == 1 and {
-                        (state.members, state.condition) for state in states} == {(len(states), "settled")}:
+                    (state.members, state.condition) for state in states
+                } == {(len(states), "settled")}:
                     return
                 await self.news.wait()
 
--- a/tests/fleet/test_explore.py
+++ b/tests/fleet/test_explore.py
@@ -10,10 +10,14 @@
 from tests.fleet.explore import FAULTS, SMALL, Bounds, Explorer
 
 
-@pytest.mark.parametrize("bounds", [
-    SMALL,
-    Bounds(starts=2, kills=1, suspicions=0, leaves=1, lost_folders=1, messages=1, doubles=0),
-], ids=["suspicions", "lives"])
+@pytest.mark.parametrize(
+    "bounds",
+    [
+        SMALL,
+        Bounds(starts=2, kills=1, suspicions=0, leaves=1, lost_folders=1, messages=1, doubles=0),
+    ],
+    ids=["suspicions", "lives"],
+)
 def test_all_properties_hold_in_every_order(bounds: Bounds) -> None:
     explorer = Explorer(bounds)
     assert explorer.run() is None
--- a/tests/fleet/test_frames.py
+++ b/tests/fleet/test_frames.py
@@ -31,12 +31,21 @@
 
 def test_every_kind_of_frame_comes_back_as_it_went() -> None:
     codec = fr.Codec([NEW])
-    rest = dict(sender=CLAIM, sequence=9, number=1 << 62, claims=[CLAIM.judged(Status.FAILED, "n2")],
-                summary=fr.Summary(0xFFFFFFFF, 1000), words=fr.pack_words([fr.Word(1, 20, 3)] * fr.MOST_WORDS))
-    for frame in (fr.Ping(origin="n3", **rest), fr.Ack(heard=-1, **rest),  # type: ignore[arg-type]
-                  fr.AskFor(target="n2", host="::1", port=1, **rest),  # type: ignore[arg-type]
-                  fr.Vouch(target="n2", life=MOST_LIFE, process=0, incarnation=MOST_INCARNATION, **rest),  # type: ignore[arg-type]
-                  fr.Nack(**rest)):  # type: ignore[arg-type]
+    rest = dict(
+        sender=CLAIM,
+        sequence=9,
+        number=1 << 62,
+        claims=[CLAIM.judged(Status.FAILED, "n2")],
+        summary=fr.Summary(0xFFFFFFFF, 1000),
+        words=fr.pack_words([fr.Word(1, 20, 3)] * fr.MOST_WORDS),
+    )
+    for frame in (
+        fr.Ping(origin="n3", **rest),
+        fr.Ack(heard=-1, **rest),  # type: ignore[arg-type]
+        fr.AskFor(target="n2", host="::1", port=1, **rest),  # type: ignore[arg-type]
+        fr.Vouch(target="n2", life=MOST_LIFE, process=0, incarnation=MOST_INCARNATION, **rest),  # type: ignore[arg-type]
+        fr.Nack(**rest),
+    ):  # type: ignore[arg-type]
         assert codec.decode(codec.encode(frame, 2)) == frame
     for frame in (fr.Hello(**rest), fr.Whole(ask=4, **rest)):  # type: ignore[arg-type, assignment]
         assert codec.decode(codec.encode(frame, 2), exchange=True) == frame
@@ -66,8 +75,21 @@
 
 
 def test_a_claim_takes_no_more_room_than_is_reckoned() -> None:
-    codec, longest = fr.Codec([NEW]), Claim(
-        "n" * 64, MOST_LIFE, (1 << 32) - 1, MOST_LIFE, MOST_INCARNATION, Status.SUSPECT, "f" * 39, 65535, 255, "b" * 64)
+    codec, longest = (
+        fr.Codec([NEW]),
+        Claim(
+            "n" * 64,
+            MOST_LIFE,
+            (1 << 32) - 1,
+            MOST_LIFE,
+            MOST_INCARNATION,
+            Status.SUSPECT,
+            "f" * 39,
+            65535,
+            255,
+            "b" * 64,
+        ),
+    )
     one, two = (len(codec.encode(ping(claims=[longest] * count), 2)) for count in (1, 2))
     assert two - one <= longest.size()
 
@@ -78,6 +100,7 @@
     def hear(node: Node, data: bytes) -> None:
         if node.name == "n1" and len(heard) < 100:
             heard.append(data)
+
     world = World(5, Settings(), 1)
     world.heard = hear
     for name in world.nodes:
--- a/tests/fleet/test_life_and_options.py
+++ b/tests/fleet/test_life_and_options.py
@@ -31,12 +31,19 @@
     assert len((tmp_path / life.FILE).read_bytes()) <= life.MOST_BYTES
 
 
-@pytest.mark.parametrize("spoil", [
-    lambda data: data[:-1], lambda data: b"", lambda data: data.replace(b"fleet 1", b"fleet 2"),
-    lambda data: data.replace(b'"life":3', b'"life":4'), lambda data: b"noise" + data,
-])
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda data: data[:-1],
+        lambda data: b"",
+        lambda data: data.replace(b"fleet 1", b"fleet 2"),
+        lambda data: data.replace(b'"life":3', b'"life":4'),
+        lambda data: b"noise" + data,
+    ],
+)
 def test_a_file_that_cannot_be_read_counts_as_none(
-        tmp_path: Path, spoil: object, caplog: pytest.LogCaptureFixture) -> None:
+    tmp_path: Path, spoil: object, caplog: pytest.LogCaptureFixture
+) -> None:
     (tmp_path / life.FILE).write_bytes(spoil(life.encode(Kept(3))))  # type: ignore[operator]
     assert LifeFile(tmp_path, False).read() is None
     assert len(caplog.messages) == 1 and "the others will tell it" in caplog.messages[0]
@@ -47,32 +54,38 @@
     assert len(life.encode(longest)) <= life.MOST_BYTES
 
 
-@pytest.mark.parametrize("more, said", [
-    ('lissten = "x"', "lissten"),
-    ("probe_every_ms = 10", "probe_every_ms"),
-    ("probe_every_ms = 100\nprobe_timeout_ms = 60", "fleet.probe_timeout_ms: half of probe_every_ms at most"),
-    ("frames = 3", "frames"),
-    ("most_members = 1001", "most_members"),
-    ('seeds = ["relay.example:7946"]', "fleet.seeds: 'relay.example:7946' is not IP:port"),
-    ('seeds = ["10.0.0.1:1", "10.0.0.1:1"]', "fleet.seeds: one stands twice"),
-    ('seeds = ["0.0.0.0:1"]', "fleet.seeds: nobody can be reached at '0.0.0.0:1'"),
-    ('advertise = "10.0.0.1:0"', "fleet.advertise: '10.0.0.1:0' is not IP:port"),
-    ("suspicion = 0.5", "suspicion"),
-])
+@pytest.mark.parametrize(
+    "more, said",
+    [
+        ('lissten = "x"', "lissten"),
+        ("probe_every_ms = 10", "probe_every_ms"),
+        ("probe_every_ms = 100\nprobe_timeout_ms = 60", "fleet.probe_timeout_ms: half of probe_every_ms at most"),
+        ("frames = 3", "frames"),
+        ("most_members = 1001", "most_members"),
+        ('seeds = ["relay.example:7946"]', "fleet.seeds: 'relay.example:7946' is not IP:port"),
+        ('seeds = ["10.0.0.1:1", "10.0.0.1:1"]', "fleet.seeds: one stands twice"),
+        ('seeds = ["0.0.0.0:1"]', "fleet.seeds: nobody can be reached at '0.0.0.0:1'"),
+        ('advertise = "10.0.0.1:0"', "fleet.advertise: '10.0.0.1:0' is not IP:port"),
+        ("suspicion = 0.5", "suspicion"),
+    ],
+)
 def test_a_mistake_in_the_table_is_one_plain_line(tmp_path: Path, more: str, said: str) -> None:
     with pytest.raises(ValueError) as wrong:
         read(tmp_path, f"[fleet]\n{GOOD}{more}\n")
     assert said in str(wrong.value) and "\n" not in str(wrong.value)
 
 
-@pytest.mark.parametrize("table, secret, name, said", [
-    ('[fleet]\nsecret_file = "secret"', SECRET, "r1", "listen"),
-    (f"[fleet]\n{GOOD}", None, "r1", "No such file"),
-    (f"[fleet]\n{GOOD}", "short\n", "r1", "secret:1: a secret has 16 bytes at least"),
-    (f"[fleet]\n{GOOD}", SECRET * 2, "r1", "the two secrets are the same"),
-    (f"[fleet]\n{GOOD}", "", "r1", "0 lines"),
-    (f"[fleet]\n{GOOD}", SECRET, "a name", "the relay's name 'a name' is not"),
-])
+@pytest.mark.parametrize(
+    "table, secret, name, said",
+    [
+        ('[fleet]\nsecret_file = "secret"', SECRET, "r1", "listen"),
+        (f"[fleet]\n{GOOD}", None, "r1", "No such file"),
+        (f"[fleet]\n{GOOD}", "short\n", "r1", "secret:1: a secret has 16 bytes at least"),
+        (f"[fleet]\n{GOOD}", SECRET * 2, "r1", "the two secrets are the same"),
+        (f"[fleet]\n{GOOD}", "", "r1", "0 lines"),
+        (f"[fleet]\n{GOOD}", SECRET, "a name", "the relay's name 'a name' is not"),
+    ],
+)
 def test_so_is_one_beside_it(tmp_path: Path, table: str, secret: str | None, name: str, said: str) -> None:
     with pytest.raises(ValueError) as wrong:
         read(tmp_path, table, secret, name)
--- a/tests/fleet/test_mail.py
+++ b/tests/fleet/test_mail.py
@@ -42,8 +42,11 @@
                 self.push(DELAY, reply.to, lambda mail, now, data=data: mail.mail(now, relay, data))
             elif isinstance(reply, Wake):
                 own, token = self.mails[relay], reply.token
-                self.push(reply.after, relay, lambda mail, now, own=own, token=token: (
-                    mail.alarm(now, token) if mail is own else []))
+                self.push(
+                    reply.after,
+                    relay,
+                    lambda mail, now, own=own, token=token: (mail.alarm(now, token) if mail is own else []),
+                )
 
     def push(self, after: int, relay: int, what: Callable[..., list[Reply]]) -> None:
         heapq.heappush(self.queue, (self.now + after, next(self.order), relay, what))
@@ -58,7 +61,8 @@
 
     def one_view(self) -> bool:
         return len({mail.members.view for mail in self.mails.values()}) == 1 and all(
-            mail.members.count == len(self.mails) for mail in self.mails.values())
+            mail.members.count == len(self.mails) for mail in self.mails.values()
+        )
 
 
 def test_members_find_each_other_by_notes_and_know_who_has_gone() -> None:
@@ -73,7 +77,8 @@
     del day.mails[7]
     day.run(60)
     assert day.one_view() and all(
-        mail.members.table.gone["r7"].claim.status.name == "FAILED" for mail in day.mails.values())
+        mail.members.table.gone["r7"].claim.status.name == "FAILED" for mail in day.mails.values()
+    )
     day.up(7)  # it knows nothing of its earlier life
     day.run(60)
     assert day.one_view() and day.mails[7].members.own.claim.life == 2
@@ -136,8 +141,9 @@
 def test_the_wire_carries_members_only_where_it_may(capsys: pytest.CaptureFixture[str]) -> None:
     assert "post" not in wire(False, "sync atTime=5", "instance relay=3", "mail originPeer=1 data=00", "eob")
     told = wire(True)
-    wake = next(line for line in told.splitlines()
-                if line.startswith("defer") and int(line.rpartition("=")[2]) >= 1 << 40)
+    wake = next(
+        line for line in told.splitlines() if line.startswith("defer") and int(line.rpartition("=")[2]) >= 1 << 40
+    )
     wait, token = (int(part.rpartition("=")[2]) for part in wake.split()[1:])
     told = wire(True, f"sync atTime={wait}", "instance relay=3", f"alarm ctx={token}", "eob")
     assert "post neighbourId=1 data=4746" in told  # it asks the other whether it is there
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -18,8 +18,18 @@
 from garnetrelay.fleet.members.table import Table
 
 claims = st.builds(
-    Claim, st.sampled_from(["a", "b"]), st.integers(1, 3), st.integers(0, 2), st.just(1), st.integers(0, 2),
-    st.sampled_from(Status), st.just("10.0.0.1"), st.integers(1, 2), st.just(2), st.sampled_from(["", "x", "y"]))
+    Claim,
+    st.sampled_from(["a", "b"]),
+    st.integers(1, 3),
+    st.integers(0, 2),
+    st.just(1),
+    st.integers(0, 2),
+    st.sampled_from(Status),
+    st.just("10.0.0.1"),
+    st.integers(1, 2),
+    st.just(2),
+    st.sampled_from(["", "x", "y"]),
+)
 
 
 @given(st.lists(claims, max_size=12), st.randoms())
@@ -33,7 +43,8 @@
         other.take(claim, 0)
     assert one.print == other.print
     assert {(member.claim.name, member.claim.rank) for member in one} == {
-        (member.claim.name, member.claim.rank) for member in other}
+        (member.claim.name, member.claim.rank) for member in other
+    }
 
 
 @given(st.lists(claims, max_size=20), st.integers(1, 3))
@@ -51,10 +62,19 @@
 
 
 facts = st.builds(
-    Facts, joined=st.booleans(), named=st.booleans(), others=st.integers(0, 5),
-    answered_ago=st.one_of(st.none(), st.integers(0, 5)), alone_after=st.just(3), suspects=st.integers(0, 1),
-    failed_lately=st.integers(0, 3), changed=st.booleans(), agreeing=st.integers(0, 5), differing=st.integers(0, 1),
-    slow=st.integers(0, 1))
+    Facts,
+    joined=st.booleans(),
+    named=st.booleans(),
+    others=st.integers(0, 5),
+    answered_ago=st.one_of(st.none(), st.integers(0, 5)),
+    alone_after=st.just(3),
+    suspects=st.integers(0, 1),
+    failed_lately=st.integers(0, 3),
+    changed=st.booleans(),
+    agreeing=st.integers(0, 5),
+    differing=st.integers(0, 1),
+    slow=st.integers(0, 1),
+)
 
 
 @given(st.lists(st.tuples(st.integers(0, 4), facts), max_size=40))
@@ -68,7 +88,8 @@
         assert doubt.condition >= wanted
         # What it is now was reason enough at some moment of the last five.
         since = [condition for at, condition in seen if at > now - 5] + [
-            [condition for at, condition in seen if at <= now - 5][-1:] or [Condition.JOINING]][0]
+            [condition for at, condition in seen if at <= now - 5][-1:] or [Condition.JOINING]
+        ][0]
         assert doubt.condition <= max(since)
 
 
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -26,8 +26,9 @@
         others = [relay for relay in fleet.relays.values() if relay is not r5]
         r5.signal(signal.SIGKILL)
         await r5.ended()
-        await fleet.until(lambda: all(
-            relay.logged("judges r5 life 1 failed") or relay.logged("r5 life 1.0 failed") for relay in others))
+        await fleet.until(
+            lambda: all(relay.logged("judges r5 life 1 failed") or relay.logged("r5 life 1.0 failed") for relay in others)
+        )
         state, lines = await r1.members()
         assert lines["r5"].status == "failed" and state.members == 4
         assert "this life does not come back" in "\n".join(await r2.ask("FLEET EXPLAIN r5"))
@@ -60,13 +61,13 @@
         ones, rest = ["r4", "r5"], ["r1", "r2", "r3"]
         fleet.links.rule("cut", between(ones, rest), Fate(cut=True))
         fleet.network.changed()
-        await fleet.until(lambda: all(
-            relay.logged("-> cut_off") for relay in fleet.relays.values()))
+        await fleet.until(lambda: all(relay.logged("-> cut_off") for relay in fleet.relays.values()))
         # Then r5 is apart from r4 too: whoever hears nobody judges nobody any more.
         fleet.links.rule("alone", between(["r5"], ["r1", "r2", "r3", "r4"]), Fate(cut=True))
         await fleet.until(lambda: fleet.relays["r5"].logged("-> alone"))
         assert "nothing but what is kept for each relay alone" in "\n".join(
-            await fleet.relays["r5"].ask("FLEET EXPLAIN r5"))
+            await fleet.relays["r5"].ask("FLEET EXPLAIN r5")
+        )
         fleet.links.drop("cut")
         fleet.links.drop("alone")
         await fleet.one_view()
@@ -77,8 +78,10 @@
         await fleet.start()
         r1, r2, r3 = (fleet.relays[name] for name in ("r1", "r2", "r3"))
         fleet.links.rule("deaf", between(["r1"], ["r2"], one_way=True), Fate(cut=True))
-        await fleet.until(lambda: r1.logged("r2 does not answer this relay, and answers")
-                          and r2.logged("r1 does not answer this relay, and answers"))
+        await fleet.until(
+            lambda: r1.logged("r2 does not answer this relay, and answers")
+            and r2.logged("r1 does not answer this relay, and answers")
+        )
         assert "a link is at fault, not the relay" in "\n".join(await r1.ask("FLEET EXPLAIN r2"))
         fleet.links.drop("deaf")
         await fleet.until(lambda: r1.logged("r2 answers this relay again") and r2.logged("r1 answers this relay again"))
@@ -86,8 +89,11 @@
 
         r3.signal(signal.SIGSTOP)
         others = [relay for relay in fleet.relays.values() if relay is not r3]
-        await fleet.until(lambda: all(relay.logged("r3 life 1") and (
-            relay.logged("judges r3") or relay.logged("failed by")) for relay in others))
+        await fleet.until(
+            lambda: all(
+                relay.logged("r3 life 1") and (relay.logged("judges r3") or relay.logged("failed by")) for relay in others
+            )
+        )
         r3.signal(signal.SIGCONT)
         await fleet.until(lambda: all(relay.logged("r3 life 2.0 alive, the same process is back") for relay in others))
         await fleet.until(lambda: r3.logged("slept for"))
@@ -129,12 +135,21 @@
 
 async def test_a_relay_that_is_off_knows_nothing_of_fleets(tmp_path: Path) -> None:
     told = subprocess.run(
-        [sys.executable, "-c", "import sys, garnetrelay.__main__, garnetrelay.relay, garnetrelay.cli.commands\n"
-         "import garnetrelay.operators.service\n"
-         "from garnetrelay.config import options\nfrom pathlib import Path\n"
-         f"options.read(Path({str(ROOT / 'deploy' / 'options.toml')!r}), 'r1')\n"
-         "print([name for name in sys.modules if name.startswith(('garnetrelay.fleet', 'garnetrelay.config.fleet'))])"],
-        cwd=ROOT, capture_output=True, text=True, check=True, env={**os.environ})
+        [
+            sys.executable,
+            "-c",
+            "import sys, garnetrelay.__main__, garnetrelay.relay, garnetrelay.cli.commands\n"
+            "import garnetrelay.operators.service\n"
+            "from garnetrelay.config import options\nfrom pathlib import Path\n"
+            f"options.read(Path({str(ROOT / 'deploy' / 'options.toml')!r}), 'r1')\n"
+            "print([name for name in sys.modules if name.startswith(('garnetrelay.fleet', 'garnetrelay.config.fleet'))])",
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+        env={**os.environ},
+    )
     assert told.stdout.strip() == "[]"
     async with Fleet(tmp_path, 1) as fleet:
         relay = fleet.relays["r1"]
--- a/tests/fleet/test_schedules.py
+++ b/tests/fleet/test_schedules.py
@@ -62,6 +62,7 @@
         seeds, members.seeds = members.seeds, [seed for seed in members.seeds if seed not in left]
         knock(members, now)
         members.seeds = seeds
+
     monkeypatch.setattr(Members, "_knock", planted)
     assert play(kept("leaving-10-17")).one_view_ms is None
 
@@ -98,8 +99,12 @@
     assert two.table.members["n1"].path is LinkPath.UNHEARD or two.table.members["n1"].path is LinkPath.DEAF
     assert not world.failures
     world.links.drop("cut")
-    assert world.run(world.now + 60 * SECOND, lambda: all(
-        member.path is LinkPath.WHOLE for member in [*one.table.members.values(), *two.table.members.values()]))
+    assert world.run(
+        world.now + 60 * SECOND,
+        lambda: all(
+            member.path is LinkPath.WHOLE for member in [*one.table.members.values(), *two.table.members.values()]
+        ),
+    )
 
 
 def test_who_hears_nobody_for_a_minute_judges_nobody_and_is_alone_at_once() -> None:
@@ -158,8 +163,14 @@
 
 
 def test_a_play_is_the_same_in_any_process() -> None:
-    text = ("from garnetrelay.laboratory.schedules import drawn, play\n"
-            "print([play(drawn(kind, 3, 12)) for kind in ('seven in ten killed', 'halves')])")
-    told = {subprocess.run([sys.executable, "-c", text], env={**os.environ, "PYTHONHASHSEED": seed}, check=True,
-                           capture_output=True).stdout for seed in ("1", "2", "3")}
+    text = (
+        "from garnetrelay.laboratory.schedules import drawn, play\n"
+        "print([play(drawn(kind, 3, 12)) for kind in ('seven in ten killed', 'halves')])"
+    )
+    told = {
+        subprocess.run(
+            [sys.executable, "-c", text], env={**os.environ, "PYTHONHASHSEED": seed}, check=True, capture_output=True
+        ).stdout
+        for seed in ("1", "2", "3")
+    }
     assert len(told) == 1 and b"one_view_ms" in told.pop()
--- a/tests/fleet/test_untold.py
+++ b/tests/fleet/test_untold.py
@@ -20,9 +20,16 @@
     """200 relays at six destinations for 30 s: the share of the messages that were delivered, of the calls refused."""
     shared: list[Shared] = [
         Untold(n, 16.0 if n < 3 else 8.0, span=2 * S * (n % 2), latency=100 * MS, wait=500 * MS * (n % 2))
-        for n in range(6)]
-    fleet = Fleet(shared, 200, load * sum(one.limit for one in shared), seed, listed_rates=False,
-                  limits=dict(probes=False, most_tries=4, retry_after=True))
+        for n in range(6)
+    ]
+    fleet = Fleet(
+        shared,
+        200,
+        load * sum(one.limit for one in shared),
+        seed,
+        listed_rates=False,
+        limits=dict(probes=False, most_tries=4, retry_after=True),
+    )
     fleet.run(30)
     answers = [status for one in shared for _, status in one.got]
     return len(fleet.times) / len(fleet.arrived), answers.count(io.Status.FULL) / len(answers)
--- a/tests/fleet/world.py
+++ b/tests/fleet/world.py
@@ -101,8 +101,15 @@
 class Fleet:
     """Relays that know of each other only their number, and the messages that come to them."""
 
-    def __init__(self, shared: list[Shared], relays: int, rate: float, seed: int = 1,
-                 register: Register | None = None, **changes: Any) -> None:
+    def __init__(
+        self,
+        shared: list[Shared],
+        relays: int,
+        rate: float,
+        seed: int = 1,
+        register: Register | None = None,
+        **changes: Any,
+    ) -> None:
         self.random = random.Random(seed)
         self.register = register
         self.listed: dict[int, int] = {}  # when each relay first had the list from the register
@@ -119,8 +126,9 @@
         self.arrived: dict[str, int] = {}
         self.times: list[int] = []  # of messages that were delivered, from their arrival
         self.actions: list[tuple[int, int, io.Action]] = []  # when, which relay, what
-        self.roster = roster = io.Roster(io.ListScope.CACHED, tuple(
-            entry(f"h{one.number}", one.number, rate=one.limit) for one in shared))
+        self.roster = roster = io.Roster(
+            io.ListScope.CACHED, tuple(entry(f"h{one.number}", one.number, rate=one.limit) for one in shared)
+        )
         for n in range(relays):
             self.at(START + self.random.randrange(TICK), n, lambda: roster)
 
@@ -137,8 +145,11 @@
             when = START + round(seconds * S * n / (self.rate * seconds))
             dest = self.random.choices(numbers, weights)[0]
             self.arrived[f"m{n}"] = when
-            self.at(when, self.random.randrange(len(self.pacers)),
-                    lambda n=n, dest=dest: io.Arrived(f"m{n}", 0, SAFE, dest, None, 20 * S))  # type: ignore[misc]
+            self.at(
+                when,
+                self.random.randrange(len(self.pacers)),
+                lambda n=n, dest=dest: io.Arrived(f"m{n}", 0, SAFE, dest, None, 20 * S),
+            )  # type: ignore[misc]
         while self.queue and self.queue[0][0] < end + 5 * S:
             now, _, relay, event = heapq.heappop(self.queue)
             for action in self.pacers[relay].handle(now, [event()]):
@@ -157,8 +168,9 @@
                 if good:
                     self.times.append(now + cost - self.arrived[call])
                 wait = shared.wait if status is io.Status.FULL else 0
-                self.at(now + cost, relay, lambda: io.Verdict(
-                    call, number, host, status, cost, good, wait, False, report))
+                self.at(
+                    now + cost, relay, lambda: io.Verdict(call, number, host, status, cost, good, wait, False, report)
+                )
             case io.Probe(host, _):
                 status, report = self.shared[int(host[1:])].call(now - START)
                 self.at(now + 30 * MS, relay, lambda: io.Probed(host, status, 30 * MS, report))
--- a/tests/operators/test_cli.py
+++ b/tests/operators/test_cli.py
@@ -23,8 +23,15 @@
 async def command(*words: str, environment: dict[str, str] | None = None) -> tuple[int, str]:
     """A subcommand's exit status, and what it says."""
     child = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "garnetrelay.cli", *words, cwd=ROOT, env={**os.environ, **(environment or {})},
-        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
+        sys.executable,
+        "-m",
+        "garnetrelay.cli",
+        *words,
+        cwd=ROOT,
+        env={**os.environ, **(environment or {})},
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
     output, _ = await child.communicate()
     return child.returncode or 0, output.decode()
 
--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -102,7 +102,7 @@
     kept.put("s-1", True)
     path = tmp_path / exclusions.FILE
     whole = path.read_bytes()
-    for spoilt in [whole[:n] for n in range(len(whole))] + [whole.replace(b" 1 ", b" 2 "), whole[:-3] + b"9\"]"]:
+    for spoilt in [whole[:n] for n in range(len(whole))] + [whole.replace(b" 1 ", b" 2 "), whole[:-3] + b'9"]']:
         path.write_bytes(spoilt)
         again = Exclusions(tmp_path, False)
         again.read()
--- a/tests/rehearsal/faults.py
+++ b/tests/rehearsal/faults.py
@@ -45,13 +45,17 @@
 
 def with_settings(change: Callable[[io.Settings], io.Settings]) -> Callable[[], None]:
     """A relay that reads a setting wrongly."""
+
     def plant() -> None:
         def make(load: Any) -> Any:
             def wrong(environment: Any) -> Any:
                 config = load(environment)
                 return dataclasses.replace(config, settings=change(config.settings))
+
             return wrong
+
         replaced(daemon, "load", make)
+
     return plant
 
 
@@ -60,19 +64,24 @@
 
 
 def with_classes(**changes: Any) -> Callable[[], None]:
-    return with_settings(lambda s: dataclasses.replace(
-        s, classes=tuple(dataclasses.replace(klass, **changes) for klass in s.classes)))
+    return with_settings(
+        lambda s: dataclasses.replace(s, classes=tuple(dataclasses.replace(klass, **changes) for klass in s.classes))
+    )
 
 
 # ---- rule 1
 
+
 def notice_forgotten() -> None:
     """A message that ended as failed is told to nobody."""
+
     def make(tell: Any) -> Any:
         def wrong(self: Any, ref: str, result: str, wait_ms: int) -> None:
             if result != "dead":
                 tell(self, ref, result, wait_ms)
+
         return wrong
+
     replaced(notices.Notices, "tell", make)
 
 
@@ -83,46 +92,60 @@
 
 def deadline_misread() -> None:
     """It takes a message's time to be two seconds longer than it is."""
+
     def make(parse: Any) -> Any:
         def wrong(words: Any) -> Any:
             request = parse(words)
             request.patience_ms += 2000
             return request
+
         return wrong
+
     replaced(server, "parse_enqueue", make)
 
 
 def told_as_dead_too() -> None:
     """A message that was delivered ends as failed besides, once in a while."""
+
     def make(finish: Any) -> Any:
         def wrong(self: Any, message: Any, result: Any, wait_ms: int) -> None:
             finish(self, message, result, wait_ms)
             if result is None and int(message.ref, 16) % 20 == 0:
                 import asyncio
+
                 asyncio.get_running_loop().call_later(
-                    1.5, lambda: (self.notices.tell(message.ref, "dead", 0), self.notices.send()))
+                    1.5, lambda: (self.notices.tell(message.ref, "dead", 0), self.notices.send())
+                )
+
         return wrong
+
     replaced(core.Relay, "finish", make)
 
 
 # ---- rule 2
 
+
 def error_taken_for_refusal() -> None:
     """An answer of 500 is read as a refusal: as if it had never run."""
+
     def make(read: Any) -> Any:
         return lambda status, *more: read(503 if status == 500 else status, *more)
+
     replaced(answers, "read_outcome", make)
 
 
 def reset_taken_for_unsent() -> None:
     """A connection that breaks behind a whole call counts as one that never came about."""
+
     def make(unread: Any) -> Any:
         def wrong(self: Any) -> Any:
             outcome = unread(self)
             if outcome.status is io.Status.RESET:
                 outcome.status = io.Status.CONNECT_FAILED
             return outcome
+
         return wrong
+
     replaced(hosts.Connection, "_unread", make)
 
 
@@ -133,13 +156,16 @@
 
 def failure_told_as_refusal() -> None:
     """What may have run ends as refused: the client is told that coming again is harmless."""
+
     def make(end: Any) -> Any:
         return lambda self, ref, result, wait_ms: end(self, ref, "bounced", wait_ms)
+
     replaced(core.Relay, "_end", make)
 
 
 # ---- rule 3
 
+
 def drain_not_understood() -> None:
     """An endpoint that drains is taken for one that serves."""
     register.STATES["Terminating"] = io.Availability.RUNNING
@@ -147,27 +173,35 @@
 
 def news_taken_up_late() -> None:
     """News of the register lies about for four seconds."""
+
     def make(on_news: Any) -> Any:
         def wrong(self: Any, news: Any) -> None:
             import asyncio
+
             asyncio.get_running_loop().call_later(4.0, on_news, self, news)
+
         return wrong
+
     replaced(core.Relay, "on_news", make)
 
 
 def watch_not_renewed() -> None:
     """A watch that ended is never opened again."""
+
     def make(subscribe: Any) -> Any:
         def wrong(self: Any) -> None:
             if not hasattr(self, "opened_once"):
                 self.opened_once = True
                 subscribe(self)
+
         return wrong
+
     replaced(register.Discovery, "subscribe", make)
 
 
 # ---- rule 4
 
+
 def outage_not_seen() -> None:
     """However many calls fail, it is no outage."""
     control.OUT = 2.0
@@ -180,28 +214,35 @@
 
 # ---- rule 6
 
+
 def waits_not_read() -> None:
     """The header that tells a wait is passed over."""
+
     def make(read: Any) -> Any:
         return lambda status, told, *more: read(status, "", *more)
+
     replaced(answers, "read_outcome", make)
 
 
 def waits_halved() -> None:
     """Half of a told wait seems enough."""
+
     def make(read: Any) -> Any:
         return lambda status, told, *more: read(status, str(int(told) // 2) if told else "", *more)
+
     replaced(answers, "read_outcome", make)
 
 
 def waits_by_endpoint() -> None:
     """A wait that a partner told binds only the endpoint that told it."""
-    with_settings(lambda s: dataclasses.replace(
-        s, kinds=tuple(dataclasses.replace(kind, apart=True) for kind in s.kinds)))()
+    with_settings(
+        lambda s: dataclasses.replace(s, kinds=tuple(dataclasses.replace(kind, apart=True) for kind in s.kinds))
+    )()
 
 
 # ---- upgrades
 
+
 def knowledge_left_behind() -> None:
     """What the old process knew of hosts, waits above all, does not pass."""
     memory.restore = lambda pacer, memory: None
@@ -209,12 +250,15 @@
 
 def calls_left_behind() -> None:
     """A call that passed is taken for one that never was."""
+
     def make(recovered: Any) -> Any:
         def wrong(self: Any, entry: Any, now_ms: int) -> Any:
             if self.inheritance is not None and self.inheritance.calls.pop(entry.ref, None) is not None:
                 entry.trying_at = None
             return recovered(self, entry, now_ms)
+
         return wrong
+
     replaced(core.Relay, "_recovered", make)
 
 
@@ -231,8 +275,9 @@
     "nothing-recovered": Fault(1, ("lost",), "killed", nothing_recovered),
     "deadline-misread": Fault(1, ("late", "lost"), "shut-long", deadline_misread),
     "told-as-dead-too": Fault(1, ("two-answers",), "failing", told_as_dead_too),
-    "error-taken-for-refusal": Fault(2, ("sent-again", "after-window", "other-building", "effect-twice"), "failing",
-                                     error_taken_for_refusal),
+    "error-taken-for-refusal": Fault(
+        2, ("sent-again", "after-window", "other-building", "effect-twice"), "failing", error_taken_for_refusal
+    ),
     "reset-taken-for-unsent": Fault(2, ("sent-again", "effect-twice"), "resets", reset_taken_for_unsent),
     "attempts-not-recorded": Fault(2, ("sent-again", "effect-twice"), "killed", attempts_not_recorded),
     "failure-told-as-refusal": Fault(2, ("refused-may-have-run",), "failing", failure_told_as_refusal),
--- a/tests/rehearsal/planted.py
+++ b/tests/rehearsal/planted.py
@@ -61,7 +61,8 @@
     if options.clean and not options.only and not options.seeds:
         faults = []
     tasks: list[tuple[str, int, str | None]] = [
-        (FAULTS[fault].scenario, seed, fault) for fault in faults for seed in range(1, options.seeds + 1)]
+        (FAULTS[fault].scenario, seed, fault) for fault in faults for seed in range(1, options.seeds + 1)
+    ]
     mixed = [*scenario.names(), *sorted(path.stem for path in FOLDER.glob("*.toml"))]
     tasks += [(mixed[n % len(mixed)], 100 + n, None) for n in range(options.clean)]
     found: dict[str, list[str]] = {}
@@ -81,8 +82,11 @@
                 good = good and bool(hits)
                 rest = sorted({f"{v.rule} {v.fault}" for v in verdicts if v not in hits})
                 found.setdefault(fault, []).append(hits[0].subject if hits else "-")
-                print(f"{fault} seed {seed}: {len(hits)} named, first {hits[0].text if hits else 'none'}"
-                      f"{'; besides: ' + ', '.join(rest) if rest else ''}", flush=True)
+                print(
+                    f"{fault} seed {seed}: {len(hits)} named, first {hits[0].text if hits else 'none'}"
+                    f"{'; besides: ' + ', '.join(rest) if rest else ''}",
+                    flush=True,
+                )
     print("\n| fault | rule | named in | first named, by seed |\n| --- | --- | --- | --- |")
     for fault, subjects in found.items():
         hit = sum(subject != "-" for subject in subjects)
--- a/tests/rehearsal/test_checker.py
+++ b/tests/rehearsal/test_checker.py
@@ -15,12 +15,25 @@
 S = 1_000_000_000
 FIGURES = Figures(
     classes={
-        "safe": ClassFigures("safe", False, 0, False), "keyed": ClassFigures("keyed", True, 6 * S, False),
-        "unsafe": ClassFigures("unsafe", False, 0, False), "turn": ClassFigures("safe", False, 0, True)},
-    answer_slack=250 * MS, drain_grace=S, fall=3 * S, fall_multiple=2.0, turn_gap=400 * MS, most_tries=3,
-    disk_bytes=1000)
-ROUTES = (ev.Route("a1", 1, "north", True), ev.Route("a2", 1, "south", True),
-          ev.Route("b1", 2, "north", False), ev.Route("b2", 2, "south", False))
+        "safe": ClassFigures("safe", False, 0, False),
+        "keyed": ClassFigures("keyed", True, 6 * S, False),
+        "unsafe": ClassFigures("unsafe", False, 0, False),
+        "turn": ClassFigures("safe", False, 0, True),
+    },
+    answer_slack=250 * MS,
+    drain_grace=S,
+    fall=3 * S,
+    fall_multiple=2.0,
+    turn_gap=400 * MS,
+    most_tries=3,
+    disk_bytes=1000,
+)
+ROUTES = (
+    ev.Route("a1", 1, "north", True),
+    ev.Route("a2", 1, "south", True),
+    ev.Route("b1", 2, "north", False),
+    ev.Route("b2", 2, "south", False),
+)
 
 
 class Stream:
@@ -37,17 +50,43 @@
     def see(self, kind: Any, at: float, since: float | None = None, **values: Any) -> None:
         self.checker.take(kind(int(at * MS), int((at if since is None else since) * MS), **values))
 
-    def message(self, ref: str, at: float, klass: str = "safe", patience: int = 2000, relay: str = "r1", key: str = "k",
-                lineage: str | None = None, answer: str | None = "ok") -> None:
-        self.see(ev.HandedIn, at, relay=relay, ref=ref, lineage=lineage or ref, klass=klass, dest=1, key=key,
-                 patience=patience * MS)
+    def message(
+        self,
+        ref: str,
+        at: float,
+        klass: str = "safe",
+        patience: int = 2000,
+        relay: str = "r1",
+        key: str = "k",
+        lineage: str | None = None,
+        answer: str | None = "ok",
+    ) -> None:
+        self.see(
+            ev.HandedIn,
+            at,
+            relay=relay,
+            ref=ref,
+            lineage=lineage or ref,
+            klass=klass,
+            dest=1,
+            key=key,
+            patience=patience * MS,
+        )
         if answer is not None:
             self.see(ev.Answered, at + 1, relay=relay, ref=ref, answer=answer)
 
     def call(self, ref: str, at: float, route: str = "a1", relay: str = "r1", since: float | None = None) -> int:
         self.calls += 1
-        self.see(ev.CallCame, at, since, call=self.calls, relay=relay, route=route, ref=ref,
-                 first=int((at if since is None else since) * MS))
+        self.see(
+            ev.CallCame,
+            at,
+            since,
+            call=self.calls,
+            relay=relay,
+            route=route,
+            ref=ref,
+            first=int((at if since is None else since) * MS),
+        )
         return self.calls
 
     def answer(self, call: int, at: float, status: int = 200, wait: int = 0, readable: bool = True) -> None:
@@ -76,6 +115,7 @@
 
 # ---- rule 1: due 2,300 ms after its time began: 2,000 of patience, 250 of slack, 50 for sockets
 
+
 @pytest.mark.parametrize(("at", "found"), [(2299, []), (2302, [(1, "late", "m")])])
 def test_notice_in_time_and_late(stream: Stream, at: int, found: list[Any]) -> None:
     stream.message("m", 0)
@@ -150,6 +190,7 @@
 
 # ---- rule 2
 
+
 @pytest.mark.parametrize("status", [429, 503, 504])
 def test_refused_attempts_may_be_repeated_by_all_classes(stream: Stream, status: int) -> None:
     stream.message("m", 0, "unsafe")
@@ -182,10 +223,13 @@
     assert stream.verdicts() == [(2, "two-at-once", "together")]
 
 
-@pytest.mark.parametrize(("route", "at", "found"), [
-    ("a1", 6050, []), ("a1", 6070, [(2, "after-window", "m")]), ("a2", 100, [(2, "other-building", "m")])])
+@pytest.mark.parametrize(
+    ("route", "at", "found"),
+    [("a1", 6050, []), ("a1", 6070, [(2, "after-window", "m")]), ("a2", 100, [(2, "other-building", "m")])],
+)
 def test_keyed_message_goes_again_in_its_building_and_window(
-        stream: Stream, route: str, at: int, found: list[Any]) -> None:
+    stream: Stream, route: str, at: int, found: list[Any]
+) -> None:
     stream.message("m", 0, "keyed", patience=9000)
     stream.served("m", 10, 500)
     stream.served("m", at, route=route)
@@ -198,8 +242,7 @@
         stream.message(ref, 0, klass)
         stream.served(ref, 10, status)
         stream.notice(ref, 20, "bounced")
-    assert stream.verdicts() == [
-        (2, "refused-may-have-run", "unsafe500"), (2, "refused-may-have-run", "keyed500")]
+    assert stream.verdicts() == [(2, "refused-may-have-run", "unsafe500"), (2, "refused-may-have-run", "keyed500")]
 
 
 def test_refused_at_the_door_and_sent_all_the_same(stream: Stream) -> None:
@@ -230,6 +273,7 @@
 
 # ---- rule 3: told at 100 ms; 1,000 of grace and 50 for sockets
 
+
 @pytest.mark.parametrize(("first", "found"), [(1150, []), (1151, [(3, "sent-to-draining", "m")])])
 def test_drain_ends_new_work_after_the_grace(stream: Stream, first: int, found: list[Any]) -> None:
     stream.message("m", 0, patience=9000)
@@ -253,6 +297,7 @@
 
 # ---- rule 4: 10 calls a second when warm, a fifth of it at first, warm in 10 s
 
+
 def cold(stream: Stream, sent: list[tuple[str, int]], saw: tuple[str, ...]) -> list[tuple[int, str, str]]:
     """An outage that some relays saw, and then so many calls of each relay, 1 ms apart, from 100 ms after."""
     stream.see(ev.OutageBegan, 100, scope="a1", how="fail")
@@ -309,6 +354,7 @@
 
 # ---- rule 5
 
+
 @pytest.mark.parametrize(("rest", "found"), [(350, []), (349, [(5, "no-rest", "two")])])
 def test_key_rests_after_an_attempt_whose_end_is_not_sure(stream: Stream, rest: int, found: list[Any]) -> None:
     stream.message("one", 0, "turn")
@@ -345,6 +391,7 @@
 
 # ---- rule 6: told at 20 ms to wait 500; calls that come within 100 ms of that are let through
 
+
 def waiting(stream: Stream, told_by: str = "a1") -> None:
     stream.message("m", 0, patience=9000)
     stream.message("told", 0, patience=9000)
@@ -352,9 +399,16 @@
     stream.notice("told", 30)
 
 
-@pytest.mark.parametrize(("at", "route", "found"), [
-    (120, "a1", []), (121, "a1", [(6, "sent-in-wait", "m")]), (519, "a1", [(6, "sent-in-wait", "m")]),
-    (520, "a1", []), (300, "a2", [])])
+@pytest.mark.parametrize(
+    ("at", "route", "found"),
+    [
+        (120, "a1", []),
+        (121, "a1", [(6, "sent-in-wait", "m")]),
+        (519, "a1", [(6, "sent-in-wait", "m")]),
+        (520, "a1", []),
+        (300, "a2", []),
+    ],
+)
 def test_wait_of_a_route_that_is_apart(stream: Stream, at: int, route: str, found: list[Any]) -> None:
     waiting(stream)
     stream.served("m", at, route=route)
--- a/tests/rehearsal/test_played.py
+++ b/tests/rehearsal/test_played.py
@@ -30,7 +30,8 @@
 
 @pytest.mark.parametrize("fault", PLANTED)
 def test_planted_fault_is_named_with_what_broke_it(
-        played: dict[str, concurrent.futures.Future[list[Verdict]]], fault: str) -> None:
+    played: dict[str, concurrent.futures.Future[list[Verdict]]], fault: str
+) -> None:
     found = planted.named(fault, played[fault].result(timeout=100))
     assert found and all(verdict.relay.startswith("relay") and len(verdict.proof) >= 2 for verdict in found)
 
@@ -65,6 +66,7 @@
     page = tmp_path / "page.html"
     from garnetrelay.rehearsal.report import machine
     from garnetrelay.rehearsal.report import page as pages
+
     pages.write(outcome, page)
     assert page.read_text().count("<svg") >= 4 and "every rule held" in page.read_text()
     assert machine.report(outcome)["kept"] is True and machine.report(outcome)["schedule"] == schedule.digest()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -21,22 +21,48 @@
     "discovery": "subscribe",
     "classes": [
         {"name": "safe", "aim": 10**9, "deadline": 8 * 10**9, "idempotency": "retryable"},
-        {"name": "keyed", "aim": 10**9, "deadline": 8 * 10**9, "idempotency": "dedup", "keyScope": "zone",
-         "repeatWindow": 6 * 10**9},
+        {
+            "name": "keyed",
+            "aim": 10**9,
+            "deadline": 8 * 10**9,
+            "idempotency": "dedup",
+            "keyScope": "zone",
+            "repeatWindow": 6 * 10**9,
+        },
         {"name": "unsafe", "aim": 10**9, "deadline": 8 * 10**9, "idempotency": "fragile"},
     ],
     "familyInfo": {"callsOut": 8},
     "loadReport": {"via": "inline"},
-    "rules": {"fall": 3 * 10**9, "fallMultiple": 2.0, "rampTime": 10**10, "startCapacity": 0.2,
-              "drainGrace": 10**9, "askEvery": 10**10},
-    "limits": {"mostHeld": 100, "mostTries": 6, "connectTimeout": 10**9, "connIdle": 10**10,
-               "probes": True, "cancel": True},
+    "rules": {
+        "fall": 3 * 10**9,
+        "fallMultiple": 2.0,
+        "rampTime": 10**10,
+        "startCapacity": 0.2,
+        "drainGrace": 10**9,
+        "askEvery": 10**10,
+    },
+    "limits": {
+        "mostHeld": 100,
+        "mostTries": 6,
+        "connectTimeout": 10**9,
+        "connIdle": 10**10,
+        "probes": True,
+        "cancel": True,
+    },
 }
 
 
 def endpoint(host: ScriptedHost, name: str = "s-1", status: str = "Ready") -> dict[str, Any]:
-    return {"name": name, "address": host.address, "zone": "north", "type": "plain", "group": 3,
-            "status": status, "weight": 50.0, "since_ms": 0}
+    return {
+        "name": name,
+        "address": host.address,
+        "zone": "north",
+        "type": "plain",
+        "group": 3,
+        "status": status,
+        "weight": 50.0,
+        "since_ms": 0,
+    }
 
 
 def listing(index: int, *endpoints: dict[str, Any], snapshot: bool = False) -> str:
@@ -51,8 +77,7 @@
         self.write("ENQUEUE", "0000", ref, f"c=safe,d={d},k=key-{ref},dest=3", "x")
         await self.writer.drain()
 
-    async def enqueue(self, ref: str, klass: str = "safe", d: int = 8000, body: bytes = b"x",
-                      dest: int = 3) -> Any:
+    async def enqueue(self, ref: str, klass: str = "safe", d: int = 8000, body: bytes = b"x", dest: int = 3) -> Any:
         return await self.ask("ENQUEUE", "0000", ref, f"c={klass},d={d},k=key-{ref},dest={dest}", body)
 
 
@@ -80,13 +105,25 @@
 
     def environment(self, port: int = 0) -> dict[str, str]:
         path = self.folder / "config.json"
-        path.write_text(json.dumps({
-            "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": self.platform.address, "seed": "5",
-            "limits": self.limits, "settings": self.facts,
-            "known": {"index": 41, "snapshot": True, "endpoints": self.endpoints},
-        }))
-        return {"RELAY_CONFIG": str(path), "RELAY_STATE": str(self.state), "RELAY_OPTIONS": self.options,
-                "RELAY_OPS": "127.0.0.1:0" if self.operators else ""}
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": f"127.0.0.1:{port}",
+                    "discovery": self.platform.address,
+                    "seed": "5",
+                    "limits": self.limits,
+                    "settings": self.facts,
+                    "known": {"index": 41, "snapshot": True, "endpoints": self.endpoints},
+                }
+            )
+        )
+        return {
+            "RELAY_CONFIG": str(path),
+            "RELAY_STATE": str(self.state),
+            "RELAY_OPTIONS": self.options,
+            "RELAY_OPS": "127.0.0.1:0" if self.operators else "",
+        }
 
     def config(self) -> Config:
         return load(self.environment())
--- a/tests/store/explore.py
+++ b/tests/store/explore.py
@@ -35,9 +35,20 @@
 
 
 def state_of(entry: Entry) -> State:
-    return (entry.klass, entry.dest, entry.key, entry.deadline, entry.body, entry.attempts, entry.trying_at,
-            entry.trying_zone if entry.trying_at is not None else "", entry.ran_at,
-            entry.ran_zone if entry.ran_at is not None else "", entry.ended, entry.wait_ms)
+    return (
+        entry.klass,
+        entry.dest,
+        entry.key,
+        entry.deadline,
+        entry.body,
+        entry.attempts,
+        entry.trying_at,
+        entry.trying_zone if entry.trying_at is not None else "",
+        entry.ran_at,
+        entry.ran_zone if entry.ran_at is not None else "",
+        entry.ended,
+        entry.wait_ms,
+    )
 
 
 @dataclass
@@ -128,8 +139,16 @@
             body = draw.randbytes(draw.choice((0, 30, 300, 1500 if self.big else 60)))
             if ref in store.entries or not store.has_room(ref, "k", len(body)):
                 return
-            store.taken(Entry(ref, draw.choice(("keyed", "unsafe")), draw.randrange(9), draw.choice((None, "k" * 9)),
-                              10**12 + draw.randrange(10**9), body))
+            store.taken(
+                Entry(
+                    ref,
+                    draw.choice(("keyed", "unsafe")),
+                    draw.randrange(9),
+                    draw.choice((None, "k" * 9)),
+                    10**12 + draw.randrange(10**9),
+                    body,
+                )
+            )
             model.noted(store, ref)
             self.new.append(ref)
             return
--- a/tests/store/mutations.py
+++ b/tests/store/mutations.py
@@ -28,7 +28,8 @@
         _, kind, length, _ = fmt.RECORD.unpack_from(data, at)
         if start + length > len(data) or not 0 < kind < 9:
             return None
-        return fmt.Record(fmt.Kind(kind), data[start:start + length], at, fmt.RECORD.size + length)
+        return fmt.Record(fmt.Kind(kind), data[start : start + length], at, fmt.RECORD.size + length)
+
     return wrong
 
 
@@ -39,6 +40,7 @@
                 yield found[0], len(data)
                 return
             yield found
+
     return wrong
 
 
@@ -49,18 +51,22 @@
         clean(self, number, *more)
         if number in self.index.segments and not segment.entries and not segment.tombs:
             self.index.removed(number)
+
     return wrong
 
 
 def without(kind: fmt.Kind) -> Callable[[Any], Any]:
     """Recovery passes over one kind of record."""
+
     def make(replay: Any) -> Any:
         return lambda self, record, number: None if record.kind is kind else replay(self, record, number)
+
     return make
 
 
 def without_flag(name: str, value: Any) -> Callable[[Any], Any]:
     """A state is written without one of its values."""
+
     def make(state: Any) -> Any:
         def wrong(entry: Any) -> bytes:
             kept = getattr(entry, name)
@@ -69,7 +75,9 @@
                 return bytes(state(entry))
             finally:
                 setattr(entry, name, kept)
+
         return wrong
+
     return make
 
 
@@ -79,15 +87,18 @@
 
 def flushed(flush: Any) -> Any:
     """It says that all is on record, whatever the disk said."""
+
     def wrong(self: Any) -> bool:
         flush(self)
         return True
+
     return wrong
 
 
 def synced_at_once(on_record: Any) -> Any:
     def wrong(self: Any, callback: Any) -> None:
         callback(self.flush())
+
     return wrong
 
 
@@ -95,6 +106,7 @@
     def wrong(self: Any) -> None:
         for handle in self.handles:
             self.storage.sync(handle)
+
     return wrong
 
 
@@ -103,6 +115,7 @@
         for handle in self.retired:
             self.storage.sync(handle)
         self.storage.sync_names()
+
     return wrong
 
 
@@ -116,8 +129,10 @@
 
 def goes_on_in_the_torn_segment(seal: Any) -> Any:
     """What a stop left half written is sealed as if it were whole."""
+
     def wrong(self: Any, number: int, end: int, records: int) -> None:
         seal(self, number, self.index.segments[number].size, records)
+
     return wrong
 
 
@@ -136,12 +151,14 @@
     "state without its number of attempts": lambda: in_place(fmt, "state", without_flag("attempts", 0)),
     "state without its doubt": lambda: in_place(fmt, "state", without_flag("uncertain", False)),
     "doubt not written anew": lambda: in_place(
-        store.Store, "_say_doubts", lambda _: lambda self, most: self._doubted.clear()),
+        store.Store, "_say_doubts", lambda _: lambda self, most: self._doubted.clear()
+    ),
     "end not kept for older records": lambda: in_place(ix.Index, "bury", tombs_forgotten),
     "damage not held against what was held": lambda: in_place(ix.Index, "damaged", lambda _: nothing),
     "flush says yes whatever came": lambda: in_place(store.Store, "flush", flushed),
-    "failed records not written anew": lambda: in_place(store.Store, "_give_up_pending", lambda _: lambda self: (
-        self._pending.clear(), self._touched.clear())),
+    "failed records not written anew": lambda: in_place(
+        store.Store, "_give_up_pending", lambda _: lambda self: (self._pending.clear(), self._touched.clear())
+    ),
     "torn tail sealed as whole": lambda: in_place(store.Store, "_seal_torn", goes_on_in_the_torn_segment),
     "machine: promised before the sync": lambda: in_place(store.Store, "on_record", synced_at_once),
     "machine: names not synced": lambda: in_place(store.Sync, "run", names_not_synced),
--- a/tests/store/simulated.py
+++ b/tests/store/simulated.py
@@ -55,7 +55,7 @@
                     if name in self.files:
                         names[name] = self.files[name]
         for name, old in names.items():
-            data = old.data if not self.machine else old.synced + self._survived(old.data[len(old.synced):])
+            data = old.data if not self.machine else old.synced + self._survived(old.data[len(old.synced) :])
             after.files[name] = File(data, data)
         after.named = dict(after.files)
         return after
@@ -64,7 +64,7 @@
         how = self.draw.randrange(4)
         if how == 0 or not unsynced:
             return unsynced
-        kept = unsynced[:self.draw.randrange(len(unsynced) + 1)]
+        kept = unsynced[: self.draw.randrange(len(unsynced) + 1)]
         if how == 1:
             return kept
         if how == 2:
@@ -97,10 +97,10 @@
         try:
             last = self._step()
         except OSError:
-            file.data += data[:self.draw.randrange(len(data) + 1)]
+            file.data += data[: self.draw.randrange(len(data) + 1)]
             raise
         if last:
-            file.data += data[:self.draw.randrange(len(data) + 1)]
+            file.data += data[: self.draw.randrange(len(data) + 1)]
             raise Stopped
         file.data += data
         self._measure()
@@ -122,7 +122,7 @@
     def cut(self, name: str, size: int, tail: bytes) -> None:
         last = self._step()
         file = self.files[name]
-        file.data = file.data[:size] + (tail[:self.draw.randrange(len(tail) + 1)] if last else tail)
+        file.data = file.data[:size] + (tail[: self.draw.randrange(len(tail) + 1)] if last else tail)
         file.synced = file.synced[:size]
         if last:
             raise Stopped
--- a/tests/store/test_ahead.py
+++ b/tests/store/test_ahead.py
@@ -39,9 +39,14 @@
 
 def meant(store: Store) -> tuple[object, ...]:
     index = store.index
-    return (index.entries, index.reserved, index.live, sorted(index.tombs),
-            {n: (s.size, s.live, s.records, s.sealed, sorted(s.entries)) for n, s in index.segments.items()},
-            {ref: (e.base, e.spread, sorted(e.stale)) for ref, e in index.entries.items()})
+    return (
+        index.entries,
+        index.reserved,
+        index.live,
+        sorted(index.tombs),
+        {n: (s.size, s.live, s.records, s.sealed, sorted(s.entries)) for n, s in index.segments.items()},
+        {ref: (e.base, e.spread, sorted(e.stale)) for ref, e in index.entries.items()},
+    )
 
 
 @pytest.mark.parametrize("seed", range(60))
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -87,6 +87,7 @@
     again(tmp_path)
     head = fmt.HEADER.pack(fmt.MAGIC, fmt.VERSION + 1, 9, 0)[:-4]
     import zlib
+
     (tmp_path / name_of(9)).write_bytes(head + zlib.crc32(head).to_bytes(4, "big") + b"what it may be")
     before = {path.name: path.read_bytes() for path in tmp_path.iterdir()}
     with pytest.raises(StoreError, match="written by a later version: segment 9 has format 2"):
@@ -106,10 +107,16 @@
         return struct.pack(">2sII", b"\xa7R", len(payload), zlib.crc32(payload)) + payload
 
     new = {"klass": "unsafe", "dest": 3, "key": None, "deadline": 1_900_000_000_000}
-    old = (record(b"x", t="taken", ref="held", **new) + record(b"y", t="taken", ref="out", **new)
-           + record(t="try", ref="out", at=1000, zone="north") + record(b"z", t="taken", ref="over", **new)
-           + record(t="ended", ref="over", result=None, wait=0) + record(b"w", t="taken", ref="dead", **new)
-           + record(t="ended", ref="dead", result="dead", wait=0) + record(b"q", t="taken", ref="torn", **new)[:-2])
+    old = (
+        record(b"x", t="taken", ref="held", **new)
+        + record(b"y", t="taken", ref="out", **new)
+        + record(t="try", ref="out", at=1000, zone="north")
+        + record(b"z", t="taken", ref="over", **new)
+        + record(t="ended", ref="over", result=None, wait=0)
+        + record(b"w", t="taken", ref="dead", **new)
+        + record(t="ended", ref="dead", result="dead", wait=0)
+        + record(b"q", t="taken", ref="torn", **new)[:-2]
+    )
     (tmp_path / "journal").write_bytes(old)
     (tmp_path / "journal.new").write_bytes(old[:20])
     if at != "after":  # a stop within a take-over: some of it stands already in a segment
@@ -175,8 +182,7 @@
 
 
 @pytest.mark.parametrize("number", [errno.ENOSPC, errno.EIO, errno.EROFS])
-def test_folder_that_takes_nothing_is_told_once_and_taken_up_again(
-        caplog: pytest.LogCaptureFixture, number: int) -> None:
+def test_folder_that_takes_nothing_is_told_once_and_taken_up_again(caplog: pytest.LogCaptureFixture, number: int) -> None:
     disk = Disk()
     store = Store(disk, DISK)
     store.taken(entry("old"))
@@ -254,6 +260,7 @@
 
 # ---- stops at every operation
 
+
 @pytest.mark.parametrize("machine", [False, True], ids=["process", "machine"])
 @pytest.mark.parametrize("faults", [False, True], ids=["sound", "failing"])
 def test_stop_at_every_operation_leaves_what_was_promised(machine: bool, faults: bool) -> None:
@@ -265,9 +272,17 @@
         explore.rot(seed, 40)
 
 
-@pytest.mark.parametrize("name", [
-    "checksum skipped", "segment removed before its messages are written", "ends passed over at the start",
-    "end not kept for older records", "machine: promised before the sync", "torn tail sealed as whole"])
+@pytest.mark.parametrize(
+    "name",
+    [
+        "checksum skipped",
+        "segment removed before its messages are written",
+        "ends passed over at the start",
+        "end not kept for older records",
+        "machine: promised before the sync",
+        "torn tail sealed as whole",
+    ],
+)
 def test_hand_made_fault_of_the_store_is_noticed(name: str) -> None:
     """All of them: python -m tests.store.mutations."""
     assert mutations.caught(name)
@@ -321,7 +336,8 @@
             index = self.store.index
             assert all(segment.live >= 0 for segment in index.segments.values())
             assert index.live == sum(sum(e.spread.values()) for e in index.entries.values()) + sum(
-                sum(segment.tombs.values()) for segment in index.segments.values())
+                sum(segment.tombs.values()) for segment in index.segments.values()
+            )
 
 
 StoppedAnywhere.TestCase.settings = settings(max_examples=25, stateful_step_count=20, deadline=None)
--- a/tests/store/test_store_in_relay.py
+++ b/tests/store/test_store_in_relay.py
@@ -19,7 +19,8 @@
 
 @pytest.mark.parametrize("number", [errno.ENOSPC, errno.EIO, errno.EROFS])
 async def test_full_disk_refuses_newcomers_and_what_is_held_goes_on(
-        field: Field, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, number: int) -> None:
+    field: Field, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, number: int
+) -> None:
     caplog.set_level(logging.INFO)
     client = await field.start()
     for ref in ("m1", "m2"):
@@ -48,8 +49,7 @@
     assert index.entries == {} and said == []
 
 
-async def test_answers_first_bytes_and_notices_wait_for_the_sync(
-        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_answers_first_bytes_and_notices_wait_for_the_sync(field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
     options = field.folder / "options.toml"
     options.write_text('[store]\ndurability = "machine"\n')
     field.options = str(options)
@@ -79,10 +79,15 @@
     await until(lambda: not field.relays[0].held)
 
 
-@pytest.mark.parametrize(("text", "says"), [
-    ("[store]\ndurability = 'always'\n", "Invalid enum value 'always'"), ("[stor]\n", "unknown field `stor`"),
-    ("[", "Invalid initial character"), (None, "No such file"),
-])
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("[store]\ndurability = 'always'\n", "Invalid enum value 'always'"),
+        ("[stor]\n", "unknown field `stor`"),
+        ("[", "Invalid initial character"),
+        (None, "No such file"),
+    ],
+)
 def test_options_that_cannot_be_used_are_one_line(field: Field, text: str | None, says: str) -> None:
     path = Path(field.folder, "options.toml")
     if text is not None:
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -21,8 +21,16 @@
 from tests.helpers import KEYED, MS, SAFE, TURNS, UNSAFE, Relay, S, entry
 from tests.sockets import Client, Field, endpoint, listing, until
 
-ENDS = (io.Status.OK, io.Status.OK, io.Status.OK, io.Status.FULL, io.Status.ERROR, io.Status.TIMEOUT,
-        io.Status.CROWDED, io.Status.CONNECT_FAILED)
+ENDS = (
+    io.Status.OK,
+    io.Status.OK,
+    io.Status.OK,
+    io.Status.FULL,
+    io.Status.ERROR,
+    io.Status.TIMEOUT,
+    io.Status.CROWDED,
+    io.Status.CONNECT_FAILED,
+)
 # Seconds of traffic: the test of the Pacer alone lets these pass. Hosts that went are remembered up to a bound.
 BOUNDED = {"Destination.arrived", "Destination.sent", "Destination.served", "Pacer.expiry", "Relay.gone"}
 SPARE = 64  # what heaps keep of old times before they are cleaned, and such
@@ -70,8 +78,12 @@
         old, new = (f"h{n % 2}-{m}" for m in (n // 10 - 1, n // 10))
         news: list[io.Event] = []
         if n % 10 < 2:
-            news.append(io.Roster(io.ListScope.CHANGES, (
-                entry(new, 1 + n % 2, n % 2), entry(old, 1 + n % 2, n % 2, state=io.Availability.DELETED))))
+            news.append(
+                io.Roster(
+                    io.ListScope.CHANGES,
+                    (entry(new, 1 + n % 2, n % 2), entry(old, 1 + n % 2, n % 2, state=io.Availability.DELETED)),
+                )
+            )
             news += [io.Excluded(old, False), io.Excluded(new, n % 3 == 0)]
         klass = (SAFE, KEYED, UNSAFE, TURNS)[n % 4]
         relay.turn(*news, relay.message(klass, 1 + n % 2, key=f"k{n}", patience=3 * S), after=37 * MS)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -39,6 +39,7 @@
 
 # ---- watches and lists
 
+
 async def test_a_pushed_list_whose_watch_ended_is_watched_anew(field: Field) -> None:
     """Where changes come by themselves nobody asks for them: a watch that ended stayed ended."""
     field.facts["discovery"] = "automatic"
@@ -68,8 +69,7 @@
     await field.platform.next_watch()
 
 
-async def test_bytes_that_make_no_line_do_not_keep_a_watch_alive(
-        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_bytes_that_make_no_line_do_not_keep_a_watch_alive(field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
     """A trickle of bytes from a service that is stuck renewed its patience for ever."""
     monkeypatch.setattr(register, "SILENCE", 0.1)
     await field.start()
@@ -97,15 +97,19 @@
 @pytest.mark.parametrize("size", [1, 7, 1000])
 def test_objects_come_out_of_any_pieces(size: int) -> None:
     versions = [{"index": n, "endpoints": [{"name": f'q"}}]{{\\{n}', "weight": [1, {}]}]} for n in range(4)]
-    texts = [json.dumps(versions[0]), json.dumps(versions[1], indent=4), "", json.dumps(versions[2], indent=0),
-             json.dumps(versions[3])]
+    texts = [
+        json.dumps(versions[0]),
+        json.dumps(versions[1], indent=4),
+        "",
+        json.dumps(versions[2], indent=0),
+        json.dumps(versions[3]),
+    ]
     data, lines = "".join(f"{text}\n" for text in texts).encode(), Lines()
-    found = [one for at in range(0, len(data), size) for one in lines.feed(data[at:at + size])]
+    found = [one for at in range(0, len(data), size) for one in lines.feed(data[at : at + size])]
     assert found.count(None) == 1 and [json.loads(one) for one in found if one is not None] == versions
 
 
-def test_an_object_without_an_end_takes_no_later_version_with_it_and_no_memory(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+def test_an_object_without_an_end_takes_no_later_version_with_it_and_no_memory(monkeypatch: pytest.MonkeyPatch) -> None:
     lines = Lines()
     whole = listing(8).encode()
     assert lines.feed(b'{"index":7,"endpoints":[\n' + whole + b"\n") == [b'{"index":7,"endpoints":[', whole]
@@ -178,6 +182,7 @@
 
 # ---- clients
 
+
 async def test_a_client_that_ends_its_sending_behind_a_request_still_hears_its_answer(field: Field) -> None:
     client = await field.start()
     relay = field.relays[0]
@@ -204,6 +209,7 @@
 
 # ---- shutdown
 
+
 async def test_connections_in_the_listeners_queue_are_served_before_it_closes(field: Field) -> None:
     """The loop has not come to them when the drain begins: a close of the listener would reset them."""
     await field.start()
@@ -269,7 +275,8 @@
 
 
 async def test_a_connection_that_is_taken_up_in_the_round_of_the_last_turn_is_not_reset_with_its_listener(
-        field: Field) -> None:
+    field: Field,
+) -> None:
     first = await field.start()  # held: dropped, it would close
     server = field.relays[0].server
     await until(lambda: len(server.connections) == 1)
@@ -309,7 +316,8 @@
 
 
 async def test_a_request_that_crosses_a_draining_relays_close_does_not_take_the_answer_back(
-        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """The client has not read its answer yet, and sends on. Bytes unread at a close make a reset of it, which throws
     away what the client has not read."""
     await field.start()
@@ -393,7 +401,8 @@
 
 
 async def test_a_request_that_is_read_as_the_time_of_a_stopping_relay_ends_is_answered_and_kept(
-        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Its turn has not come, and the 3 s are over: it was read, and the relay ended without a word of it."""
     client = await field.start()
     relay = field.relays[0]
@@ -411,7 +420,8 @@
 
 
 async def test_what_comes_behind_a_stopping_relays_last_turn_stays_unread(
-        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """The end takes a few rounds of the loop. What they read was answered by nobody: unread, it is handed in again."""
     client = await field.start()
     relay = field.relays[0]
@@ -440,7 +450,8 @@
 
 
 async def test_a_connection_that_is_taken_up_as_the_end_comes_is_not_read(
-        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
     first = await field.start()  # held: dropped, it would close
     server = field.relays[0].server
     await until(lambda: len(server.connections) == 1)
@@ -464,7 +475,8 @@
 
 
 async def test_an_answer_that_waits_for_its_record_is_written_before_the_end(
-        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Where records outlast the machine's power an answer waits for a sync: the end waits with it."""
     client = await field.start()
     relay = field.relays[0]
@@ -485,7 +497,8 @@
 
 
 async def test_a_relay_that_is_told_to_end_while_it_starts_does_not_listen_on(
-        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
     recover = Relay._recover
 
     def told(relay: Relay) -> None:
@@ -503,6 +516,7 @@
 
 # ---- calls
 
+
 async def test_a_host_that_moved_while_its_connection_came_up_gets_no_call_at_the_old_address(field: Field) -> None:
     other = ScriptedHost()
     await other.start()
@@ -550,7 +564,8 @@
 
 
 async def test_a_message_that_is_delivered_as_its_time_ends_is_told_of_too(
-        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Its client counts from its sending, a little ahead of our reading: behind that time it is owed its end, and nobody
     here can tell. On brink 310, roll+brink-11, a message whose answer came 3 ms ahead of our end of it was lost."""
     client = await field.start()
@@ -577,8 +592,10 @@
 
 # ---- restarts
 
+
 async def test_what_became_of_what_a_restart_found_untried_is_in_the_log(
-        field: Field, caplog: pytest.LogCaptureFixture) -> None:
+    field: Field, caplog: pytest.LogCaptureFixture
+) -> None:
     field.facts["familyInfo"]["callsOut"] = 1
     client = await field.start()
     watch = await field.platform.next_watch()
@@ -595,8 +612,6 @@
     assert "5 found untried: 5 tried, with no call 0 ended at their time and 0 before, 0 left" in caplog.text
 
 
-
-
 async def test_a_hold_that_newcomers_fill_gives_up_nothing_that_an_earlier_life_left_untried(field: Field) -> None:
     """It earns least, as its time is half over: it was refused first, with no call."""
     field.facts["limits"]["mostHeld"] = 20
@@ -623,8 +638,10 @@
 
 # ---- notices
 
+
 async def test_an_end_is_told_in_time_though_the_connection_to_the_platform_has_fallen_silent(
-        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Finding out takes no longer than half of the 300 ms in which an end has to be told."""
     assert 2 * (notices.ANSWER_TIME + notices.FIRST_PAUSE) <= 0.3
     client = await field.start()
@@ -646,7 +663,8 @@
 
 
 async def test_a_platform_that_is_slow_is_given_longer_until_it_has_answered(
-        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Were each POST given up as soon, one that takes longer to answer would never be heard."""
     await field.start()
     relay = field.relays[0]
@@ -659,7 +677,8 @@
 
 
 async def test_a_notice_that_the_platform_can_not_read_keeps_no_other_back(
-        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
     await field.start()
     relay = field.relays[0]
     take = field.platform.take
@@ -680,6 +699,7 @@
 
 # ---- hand-overs
 
+
 @pytest.mark.parametrize("told", [False, True])
 async def test_a_process_that_is_told_to_end_while_it_hands_over_does_not_begin_anew(field: Field, told: bool) -> None:
     """SIGTERM came while it made ready, and the new process died with the relay in its hands: begun anew from the folder,
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -19,20 +19,50 @@
     classes = []
     for _ in range(draw.choice([1, 2, 7])):
         aim = draw.choice([1, MS, S, 20 * S])
-        classes.append(io.MessageClass(
-            aim, aim * draw.choice([1, 2, 10]), draw.choice([0.0, 1.0, 9.0]), draw.choice([0.0, 0.5, 1.0]),
-            draw.choice(list(io.Repeat)), draw.choice(list(io.Scope)), draw.choice([0, S]), draw.random() < 0.3))
+        classes.append(
+            io.MessageClass(
+                aim,
+                aim * draw.choice([1, 2, 10]),
+                draw.choice([0.0, 1.0, 9.0]),
+                draw.choice([0.0, 0.5, 1.0]),
+                draw.choice(list(io.Repeat)),
+                draw.choice(list(io.Scope)),
+                draw.choice([0, S]),
+                draw.random() < 0.3,
+            )
+        )
     return dict(
-        relays=draw.choice([1, 3, 8, 500]), slots=draw.choice([1, 2, 9]), tick=draw.choice([0, 5 * MS]),
-        discovery=draw.choice(list(io.Discovery)), listed_rates=draw.random() < 0.5, decay=draw.choice(list(io.Decay)),
-        classes=tuple(classes), kinds=(io.Kind(draw.random() < 0.5, draw.choice([1, 4])),),
-        zone_fees=draw.choice([(), (0.0, 1.0)]), tenant_rates=draw.choice([(), (0.0, 5.0)]),
-        rules=dict(answer_slack=draw.choice([0, S]), ask_every=draw.choice([0, S]), drain_grace=0,
-                   fall=draw.choice([1, S]), fall_multiple=draw.choice([0.01, 3.0]), ramp_time=draw.choice([0, 1, S]),
-                   start_capacity=draw.choice([0.001, 1.0]), turn_gap=draw.choice([0, S])),
-        limits=dict(cancel=draw.random() < 0.5, probes=draw.random() < 0.5, retry_after=draw.random() < 0.5,
-                    most_held=draw.choice([1, 2, 30]), most_tries=draw.choice([1, 2, 40]),
-                    max_retry_after=draw.choice([0, S]), connect_timeout=0, conn_idle=draw.choice([0, S])))
+        relays=draw.choice([1, 3, 8, 500]),
+        slots=draw.choice([1, 2, 9]),
+        tick=draw.choice([0, 5 * MS]),
+        discovery=draw.choice(list(io.Discovery)),
+        listed_rates=draw.random() < 0.5,
+        decay=draw.choice(list(io.Decay)),
+        classes=tuple(classes),
+        kinds=(io.Kind(draw.random() < 0.5, draw.choice([1, 4])),),
+        zone_fees=draw.choice([(), (0.0, 1.0)]),
+        tenant_rates=draw.choice([(), (0.0, 5.0)]),
+        rules=dict(
+            answer_slack=draw.choice([0, S]),
+            ask_every=draw.choice([0, S]),
+            drain_grace=0,
+            fall=draw.choice([1, S]),
+            fall_multiple=draw.choice([0.01, 3.0]),
+            ramp_time=draw.choice([0, 1, S]),
+            start_capacity=draw.choice([0.001, 1.0]),
+            turn_gap=draw.choice([0, S]),
+        ),
+        limits=dict(
+            cancel=draw.random() < 0.5,
+            probes=draw.random() < 0.5,
+            retry_after=draw.random() < 0.5,
+            most_held=draw.choice([1, 2, 30]),
+            most_tries=draw.choice([1, 2, 40]),
+            max_retry_after=draw.choice([0, S]),
+            connect_timeout=0,
+            conn_idle=draw.choice([0, S]),
+        ),
+    )
 
 
 @pytest.mark.parametrize("seed", range(60))
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -79,9 +79,7 @@
         ("hello\n", "sync"),
     ],
 )
-def test_malformed_input_is_named_and_ends_the_process(
-    bad: str, word: str, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_malformed_input_is_named_and_ends_the_process(bad: str, word: str, capsys: pytest.CaptureFixture[str]) -> None:
     assert serve(bad)[0] != 0
     err = capsys.readouterr().err
     assert word in err and err.startswith("line ")
@@ -169,7 +167,11 @@
             if status is io.Status.OK:
                 ended.add(name)
             elif classes[name] == UNSAFE and status not in (
-                io.Status.FULL, io.Status.CROWDED, io.Status.CONNECT_FAILED, io.Status.ABANDONED):
+                io.Status.FULL,
+                io.Status.CROWDED,
+                io.Status.CONNECT_FAILED,
+                io.Status.ABANDONED,
+            ):
                 unsafe_ran.add(name)
             wait = 500 * MS if status is io.Status.FULL and which % 2 else 0
             if wait:
@@ -198,9 +200,7 @@
 def test_readme_example_runs() -> None:
     blocks = re.findall(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S)
     assert len(blocks) == 1
-    run = subprocess.run(
-        [sys.executable, "-c", blocks[0]], capture_output=True, text=True, cwd=ROOT, timeout=30
-    )
+    run = subprocess.run([sys.executable, "-c", blocks[0]], capture_output=True, text=True, cwd=ROOT, timeout=30)
     assert run.returncode == 0, run.stderr
     assert "call partner-1" in run.stdout
 
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -10,8 +10,9 @@
 from tests.helpers import KEYED, MS, SAFE, UNSAFE, Relay, S, entry, settings
 
 
-def recovered(name: str, klass: int = SAFE, left: int = 10 * S, attempts: int = 0,
-              ran_ago: int | None = None) -> io.Recovered:
+def recovered(
+    name: str, klass: int = SAFE, left: int = 10 * S, attempts: int = 0, ran_ago: int | None = None
+) -> io.Recovered:
     return io.Recovered(name, klass, 1, None, left, attempts, ran_ago, 0)
 
 
@@ -32,8 +33,7 @@
         out = [m.name for m in relay.pacer.messages.values() if m.call is not None]
         called += out
         newcomers = [relay.message(len(classes)) for _ in range(2)]
-        relay.turn(*(relay.verdict(name, io.Status.OK) for name in out), *newcomers,
-                   after=500 * MS)
+        relay.turn(*(relay.verdict(name, io.Status.OK) for name in out), *newcomers, after=500 * MS)
         assert not ends(relay) & {f"old{n}" for n in range(5)}
     assert {f"old{n}" for n in range(5)} <= set(called)
     assert any(not name.startswith("old") for name in called)
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -219,8 +219,13 @@
 def test_free_route_goes_before_a_crowded_one_also_at_a_fee() -> None:
     """All went by the routes without a fee, which took three times as long for it and held all slots,
     while those with a fee stood idle."""
-    relay = Relay(entry("cheap", kind=1, zone=0, rate=20.0), entry("dear", kind=1, zone=1, rate=20.0),
-                  slots=6, listed_rates=True, zone_fees=(0.0, 0.03))
+    relay = Relay(
+        entry("cheap", kind=1, zone=0, rate=20.0),
+        entry("dear", kind=1, zone=1, rate=20.0),
+        slots=6,
+        listed_rates=True,
+        zone_fees=(0.0, 0.03),
+    )
     relay.serve(5)
     assert set(relay.where.values()) == {"cheap"}
     relay.turn(relay.message(), after=100 * MS)
@@ -278,16 +283,17 @@
 
 def test_slots_go_first_where_no_call_waits_for_another() -> None:
     """A slow destination's messages were as urgent as others and took slots only to wait there."""
-    relay = Relay(*[entry(name, dest=dest, rate=20.0) for dest, name in enumerate("abc", 1)], slots=4,
-                  listed_rates=True)
+    relay = Relay(*[entry(name, dest=dest, rate=20.0) for dest, name in enumerate("abc", 1)], slots=4, listed_rates=True)
     for dest in (1, 2, 3):
         relay.serve(3, dest=dest)
     relay.turn(*[relay.message(dest=dest) for dest in (1, 1, 1, 2, 2, 2, 3)], after=100 * MS)
     assert sorted(send.host for send in relay.sends()) == ["a", "a", "b", "c"]
 
 
-@pytest.mark.parametrize("report", [io.Report(0.5, 1e300), io.Report(0.5, 1e-300), io.Report(0.5, 900.0),
-                                    io.Report(0.5, 0.01), io.Report(1e9, 20.0)])
+@pytest.mark.parametrize(
+    "report",
+    [io.Report(0.5, 1e300), io.Report(0.5, 1e-300), io.Report(0.5, 900.0), io.Report(0.5, 0.01), io.Report(1e9, 20.0)],
+)
 @pytest.mark.parametrize("agreed", [20.0, 0.0])
 def test_absurd_report_is_not_believed(report: io.Report, agreed: float) -> None:
     """One figure out of all range divided by nothing, or paced a destination by it."""
@@ -323,9 +329,7 @@
         dest = relay.pacer.routes[1][0]
         refused = 0
         for _ in range(300):
-            told = [
-                relay.verdict(s.call, io.Status.FULL, report=io.Report(left, 6.0)) for s in relay.sends()
-            ]
+            told = [relay.verdict(s.call, io.Status.FULL, report=io.Report(left, 6.0)) for s in relay.sends()]
             refused += len(told)
             relay.turn(*told, after=100 * MS)
             if refused == 2:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -36,9 +36,13 @@
 
     async def start(self, more: dict[str, str] | None = None) -> Client:
         self.child = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "garnetrelay", cwd=ROOT,
+            sys.executable,
+            "-m",
+            "garnetrelay",
+            cwd=ROOT,
             env={**os.environ, **self.field.environment(self.port), **(more or {})},
-            stderr=asyncio.subprocess.PIPE)
+            stderr=asyncio.subprocess.PIPE,
+        )
         await self.says(b"serves on")
         return await Client.connect(self.port)
 
@@ -99,8 +103,7 @@
     journal.close()
     await process.start()
     notices = [await field.platform.next_notice() for _ in range(3)]
-    assert {n["ref"]: n["result"] for n in notices} == {
-        "untold": "bounced", "late": "bounced", "late-ran": "dead"}
+    assert {n["ref"]: n["result"] for n in notices} == {"untold": "bounced", "late": "bounced", "late-ran": "dead"}
     assert field.host.calls.empty()
 
 
@@ -176,21 +179,28 @@
         await old.stop()
 
 
-@pytest.mark.parametrize(("text", "says"), [
-    ("{", "not JSON"), ("[]", "not an object"), ('{"settings":{}}', "is missing"),
-])
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("{", "not JSON"),
+        ("[]", "not an object"),
+        ('{"settings":{}}', "is missing"),
+    ],
+)
 async def test_bad_configuration_is_one_line_and_a_failed_start(field: Field, text: str, says: str) -> None:
     environment = {**os.environ, **field.environment()}
     Path(environment["RELAY_CONFIG"]).write_text(text)
     child = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "garnetrelay", cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE)
+        sys.executable, "-m", "garnetrelay", cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE
+    )
     async with asyncio.timeout(PATIENCE):
         _, told = await child.communicate()
     assert child.returncode == 2 and told.count(b"\n") == 1 and says.encode() in told
 
 
 async def test_a_new_configuration_that_comes_as_the_process_starts_is_read_and_ends_nothing(
-        field: Field, process: Process, tmp_path: Path) -> None:
+    field: Field, process: Process, tmp_path: Path
+) -> None:
     """SIGHUP ends a process that has not said what it does with it, and an interpreter that starts has not. By the deploy
     file's own command, held at the interpreter's first line."""
     run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
@@ -198,8 +208,14 @@
     waits, go_on = os.pipe()
     (tmp_path / "sitecustomize.py").write_text(f"import os\nos.write({begins}, b'x')\nos.read({waits}, 1)\n")
     process.child = await asyncio.create_subprocess_exec(
-        "/bin/sh", "-c", run.replace(".venv/bin/python", sys.executable), cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-        env={**os.environ, **field.environment(process.port), "PYTHONPATH": str(tmp_path)}, pass_fds=(begins, waits))
+        "/bin/sh",
+        "-c",
+        run.replace(".venv/bin/python", sys.executable),
+        cwd=ROOT,
+        stderr=asyncio.subprocess.PIPE,
+        env={**os.environ, **field.environment(process.port), "PYTHONPATH": str(tmp_path)},
+        pass_fds=(begins, waits),
+    )
     os.close(begins)
     os.close(waits)
     assert await asyncio.to_thread(os.read, begun, 1) == b"x"
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -76,24 +76,42 @@
     assert refused + bounced >= 20 and set(answers) <= {b"OK", "BUSY"}
 
 
-@pytest.mark.parametrize("words", [
-    ("ENQUEUE", "0", "m", "c=safe,d=8000,dest=3"),
-    ("ENQUEUE", "0", "m", "c=none,d=8000,dest=3", "x"),
-    ("ENQUEUE", "0", "m", "c=safe,d=8000,dest=99", "x"),
-    ("ENQUEUE", "0", "m", "c=safe,d=soon,dest=3", "x"),
-    ("ENQUEUE", "0", "m", "c=safe,d=-5,dest=3", "x"),
-    ("ENQUEUE", "0", "m", "c=safe,dest=3", "x"),
-    ("ENQUEUE", "0", "m", "nonsense", "x"),
-    ("ENQUEUE", "0", "m", "c=keyed,d=8000,dest=3", "x"),
-    ("ENQUEUE", "0", "", "c=safe,d=8000,dest=3", "x"),
-    ("ENQUEUE", "0", "m\r\nX-Evil: 1", "c=safe,d=8000,dest=3", "x"),
-    ("ENQUEUE", "0", b"\xff", "c=safe,d=8000,dest=3", "x"),
-    ("ENQUEUE", "0", "m", "c=safe,d=8000,dest=3", bytes(65 * 1024)),
-    ("SHUTDOWN",),
-], ids=["short", "class", "dest", "d", "negative d", "no d", "list", "no key", "no id", "header", "bytes",
-        "body", "unknown"])
+@pytest.mark.parametrize(
+    "words",
+    [
+        ("ENQUEUE", "0", "m", "c=safe,d=8000,dest=3"),
+        ("ENQUEUE", "0", "m", "c=none,d=8000,dest=3", "x"),
+        ("ENQUEUE", "0", "m", "c=safe,d=8000,dest=99", "x"),
+        ("ENQUEUE", "0", "m", "c=safe,d=soon,dest=3", "x"),
+        ("ENQUEUE", "0", "m", "c=safe,d=-5,dest=3", "x"),
+        ("ENQUEUE", "0", "m", "c=safe,dest=3", "x"),
+        ("ENQUEUE", "0", "m", "nonsense", "x"),
+        ("ENQUEUE", "0", "m", "c=keyed,d=8000,dest=3", "x"),
+        ("ENQUEUE", "0", "", "c=safe,d=8000,dest=3", "x"),
+        ("ENQUEUE", "0", "m\r\nX-Evil: 1", "c=safe,d=8000,dest=3", "x"),
+        ("ENQUEUE", "0", b"\xff", "c=safe,d=8000,dest=3", "x"),
+        ("ENQUEUE", "0", "m", "c=safe,d=8000,dest=3", bytes(65 * 1024)),
+        ("SHUTDOWN",),
+    ],
+    ids=[
+        "short",
+        "class",
+        "dest",
+        "d",
+        "negative d",
+        "no d",
+        "list",
+        "no key",
+        "no id",
+        "header",
+        "bytes",
+        "body",
+        "unknown",
+    ],
+)
 async def test_request_that_makes_no_sense_gets_an_error_and_the_connection_stays(
-        field: Field, words: tuple[str | bytes, ...]) -> None:
+    field: Field, words: tuple[str | bytes, ...]
+) -> None:
     client = await field.start()
     (await field.platform.next_watch()).line("")  # before that, a destination that is not listed may be a new one
     await until(lambda: field.relays[0].discovery.heard)
@@ -102,12 +120,21 @@
     assert field.relays[0].held == {}
 
 
-@pytest.mark.parametrize("data", [
-    b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n$-7\r\n", b"*-3\r\n", b"*1\r\n$nine\r\n", b"*1\r\n:5\r\n",
-    b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$1\r\nm\r\n$20\r\nc=safe,d=8000,dest=3\r\n$4\r\nabcdefgh\r\n",
-    b"*4000000000\r\n", b"*1\r\n*1\r\n$4\r\nPING\r\n", b"*1\r\n$100000000\r\n" + bytes(2_000_000),
-], ids=["inline", "length", "count", "no length", "integer",
-        "short length", "huge count", "nested", "huge length"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"*1\r\n$-7\r\n",
+        b"*-3\r\n",
+        b"*1\r\n$nine\r\n",
+        b"*1\r\n:5\r\n",
+        b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$1\r\nm\r\n$20\r\nc=safe,d=8000,dest=3\r\n$4\r\nabcdefgh\r\n",
+        b"*4000000000\r\n",
+        b"*1\r\n*1\r\n$4\r\nPING\r\n",
+        b"*1\r\n$100000000\r\n" + bytes(2_000_000),
+    ],
+    ids=["inline", "length", "count", "no length", "integer", "short length", "huge count", "nested", "huge length"],
+)
 async def test_lost_framing_gets_an_error_and_a_close(field: Field, data: bytes) -> None:
     client = await field.start()
     client.writer.write(data)
@@ -126,7 +153,8 @@
 
 @pytest.mark.parametrize("data", [b"", b"*5\r\n$7\r\nENQ"], ids=["silent", "half"])
 async def test_client_without_a_whole_command_is_shut_out_by_the_clock(
-        field: Field, monkeypatch: pytest.MonkeyPatch, data: bytes) -> None:
+    field: Field, monkeypatch: pytest.MonkeyPatch, data: bytes
+) -> None:
     """The time runs from the beginning: a byte now and then wins none. One that has asked may stay."""
     assert clients.COMMAND_TIME < 3
     monkeypatch.setattr(clients, "COMMAND_TIME", 0.2)
@@ -160,8 +188,7 @@
     assert (await client.read()).startswith("ERR") and await client.read() is None
 
 
-async def test_longest_idle_client_makes_room_for_a_newcomer(
-        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_longest_idle_client_makes_room_for_a_newcomer(field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
     """Never one with a request begun. When nobody can go, the newcomer hears that it may come again."""
     field.limits["sockets"] = 60
     first = await field.start()
@@ -250,21 +277,24 @@
 
 # ---- outcomes
 
-@pytest.mark.parametrize(("status", "headers", "outcome"), [
-    (200, [], Outcome(io.Status.OK, finished=True)),
-    (500, [], Outcome(io.Status.ERROR)),
-    (302, [], Outcome(io.Status.ERROR)),
-    (429, [(b"X-Backoff-Ms", b"250")], Outcome(io.Status.FULL, wait=250_000_000)),
-    (429, [(b"X-Backoff-Ms", b"soon")], Outcome(io.Status.FULL)),
-    (503, [], Outcome(io.Status.FULL)),
-    (503, [(b"X-Egress-Full", b"1")], Outcome(io.Status.MOOT, no_slot=True)),
-    (504, [], Outcome(io.Status.MOOT)),
-    (410, [], Outcome(io.Status.MOOT, finished=True)),
-    (503, [(b"X-Server-Load", b"x0=0.4,x1=25")], Outcome(io.Status.FULL, report=io.Report(0.4, 25))),
-    (500, [(b"X-Server-Load", b"x0=nan,x1=?")], Outcome(io.Status.ERROR)),
-])
-def test_answer_is_read_as_the_protocol_says(
-        status: int, headers: list[tuple[bytes, bytes]], outcome: Outcome) -> None:
+
+@pytest.mark.parametrize(
+    ("status", "headers", "outcome"),
+    [
+        (200, [], Outcome(io.Status.OK, finished=True)),
+        (500, [], Outcome(io.Status.ERROR)),
+        (302, [], Outcome(io.Status.ERROR)),
+        (429, [(b"X-Backoff-Ms", b"250")], Outcome(io.Status.FULL, wait=250_000_000)),
+        (429, [(b"X-Backoff-Ms", b"soon")], Outcome(io.Status.FULL)),
+        (503, [], Outcome(io.Status.FULL)),
+        (503, [(b"X-Egress-Full", b"1")], Outcome(io.Status.MOOT, no_slot=True)),
+        (504, [], Outcome(io.Status.MOOT)),
+        (410, [], Outcome(io.Status.MOOT, finished=True)),
+        (503, [(b"X-Server-Load", b"x0=0.4,x1=25")], Outcome(io.Status.FULL, report=io.Report(0.4, 25))),
+        (500, [(b"X-Server-Load", b"x0=nan,x1=?")], Outcome(io.Status.ERROR)),
+    ],
+)
+def test_answer_is_read_as_the_protocol_says(status: int, headers: list[tuple[bytes, bytes]], outcome: Outcome) -> None:
     lines = b"".join(b"%s: %s\r\n" % line for line in headers)
     reader = AnswerReader()
     reader.feed(b"HTTP/1.1 %d What\r\n%sContent-Length: 0\r\n\r\n" % (status, lines))
@@ -296,14 +326,23 @@
 HEAD_200 = b"HTTP/1.1 200 OK\r\n"
 
 
-@pytest.mark.parametrize("data", [
-    HEAD_200 + b"X-Pad: p\r\n" * 4000, HEAD_200 + b"X-Pad: p\r\n", HEAD_200 + b"Content-Length: -1\r\n\r\n",
-    HEAD_200 + b"Content-Length: 3000000000\r\n\r\n" + bytes(200_000), HEAD_200 + b"no header\r\n\r\n",
-    HEAD_200 + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", HEAD_200 + b"Content-Length: 9\r\n\r\nx",
-    b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + HEAD_200 + b"Content-Length: x\r\n\r\n",
-], ids=["endless head", "head that stops", "length", "huge", "header", "chunks", "short", "behind 1xx"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        HEAD_200 + b"X-Pad: p\r\n" * 4000,
+        HEAD_200 + b"X-Pad: p\r\n",
+        HEAD_200 + b"Content-Length: -1\r\n\r\n",
+        HEAD_200 + b"Content-Length: 3000000000\r\n\r\n" + bytes(200_000),
+        HEAD_200 + b"no header\r\n\r\n",
+        HEAD_200 + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        HEAD_200 + b"Content-Length: 9\r\n\r\nx",
+        b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + HEAD_200 + b"Content-Length: x\r\n\r\n",
+    ],
+    ids=["endless head", "head that stops", "length", "huge", "header", "chunks", "short", "behind 1xx"],
+)
 async def test_first_line_with_200_is_true_in_a_spoilt_answer(
-        field: Field, monkeypatch: pytest.MonkeyPatch, data: bytes) -> None:
+    field: Field, monkeypatch: pytest.MonkeyPatch, data: bytes
+) -> None:
     monkeypatch.setattr(hosts, "DRAIN_TIME", 0.1)
     client = await field.start()
     await client.enqueue("m1", "unsafe")
@@ -315,16 +354,34 @@
     assert field.platform.notices.empty() and field.relays[0].journal.entries == {}
 
 
-@pytest.mark.parametrize("data", [
-    b"\x00\x01 what is this?\r\n\r\n", b"HTTP/1.1 OK 200\r\n\r\n", b"HTTP/1.1 2x0 OK\r\n\r\n",
-    b"HTTP/1.1 429 Slow\r\nX-Backoff-Ms: 60000\r\nContent-Length: -4\r\n\r\n",
-    b"HTTP/1.1 503 No\r\nContent-Length: 3000000000\r\n\r\n" + bytes(200_000),
-    b"HTTP/1.1 410 Gone\r\nContent-Length: 9\r\n\r\nx", b"HTTP/1.1 503 No\r\nX-Pad: p\r\n", b"noise",
-    b"HTTP/1.1 200 O",
-], ids=["noise", "line", "status", "429", "endless body", "short 410", "endless head", "no line",
-        "half a line with 200"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00\x01 what is this?\r\n\r\n",
+        b"HTTP/1.1 OK 200\r\n\r\n",
+        b"HTTP/1.1 2x0 OK\r\n\r\n",
+        b"HTTP/1.1 429 Slow\r\nX-Backoff-Ms: 60000\r\nContent-Length: -4\r\n\r\n",
+        b"HTTP/1.1 503 No\r\nContent-Length: 3000000000\r\n\r\n" + bytes(200_000),
+        b"HTTP/1.1 410 Gone\r\nContent-Length: 9\r\n\r\nx",
+        b"HTTP/1.1 503 No\r\nX-Pad: p\r\n",
+        b"noise",
+        b"HTTP/1.1 200 O",
+    ],
+    ids=[
+        "noise",
+        "line",
+        "status",
+        "429",
+        "endless body",
+        "short 410",
+        "endless head",
+        "no line",
+        "half a line with 200",
+    ],
+)
 async def test_anything_else_spoilt_may_have_run_and_says_nothing_of_the_host(
-        field: Field, monkeypatch: pytest.MonkeyPatch, data: bytes) -> None:
+    field: Field, monkeypatch: pytest.MonkeyPatch, data: bytes
+) -> None:
     """The host answers others as before: it is neither suspect nor told to be waited for."""
     monkeypatch.setattr(hosts, "DRAIN_TIME", 0.1)
     client = await field.start()
@@ -429,6 +486,7 @@
 
 # ---- connections
 
+
 async def test_next_call_uses_the_same_connection_also_behind_1xx_and_a_body(field: Field) -> None:
     client = await field.start()
     await field.warm(client)
@@ -527,6 +585,7 @@
 
 # ---- discovery and notices
 
+
 async def test_watch_goes_on_from_the_last_index_and_tells_of_drains(field: Field) -> None:
     client = await field.start()
     watch = await field.platform.next_watch()
@@ -590,6 +649,7 @@
 
 # ---- a spent core
 
+
 async def test_end_goes_out_in_the_turn_that_decides_it(field: Field) -> None:
     """Not a round of the loop later: on a spent core that is what the rule leaves."""
     client = await field.start()
@@ -622,8 +682,7 @@
     await until(lambda: not relay.held)
 
 
-async def test_slow_relay_answers_each_message_by_its_deadline(
-        field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_slow_relay_answers_each_message_by_its_deadline(field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
     """Its own time is made dear: a turn takes as long as a spent core would make it. The host is silent."""
     field.facts["rules"]["answerSlack"] = 250_000_000
     client = await field.start()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -69,9 +69,7 @@
 
 def test_nothing_goes_to_a_draining_or_vanished_host() -> None:
     relay = Relay(entry("a"))
-    relay.turn(
-        io.Roster(io.ListScope.CHANGES, (entry("a", state=io.Availability.STOPPING),)), relay.message()
-    )
+    relay.turn(io.Roster(io.ListScope.CHANGES, (entry("a", state=io.Availability.STOPPING),)), relay.message())
     assert relay.sends() == []
     relay.turn(io.Roster(io.ListScope.CHANGES, (entry("a"),)))
     assert [s.host for s in relay.sends()] == ["a"]
@@ -105,9 +103,7 @@
 
 def test_messages_of_one_key_go_one_at_a_time_in_order() -> None:
     relay = Relay(entry("a"), entry("b"), rules={"turn_gap": S})
-    relay.turn(
-        relay.message(TURNS, key="k"), relay.message(TURNS, key="k"), relay.message(TURNS, key="other")
-    )
+    relay.turn(relay.message(TURNS, key="k"), relay.message(TURNS, key="k"), relay.message(TURNS, key="other"))
     assert [s.call for s in relay.sends()] == ["m1", "m3"]
     relay.turn(io.Withdrawn("m1"), after=100 * MS)
     assert relay.sends() == []  # its attempt is still out
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -13,8 +13,14 @@
 from starlingwick.hold import Queue
 
 SECOND = 1_000_000_000
-COUNTED = [(Pacer, "gate"), (Pacer, "worth_at"), (Pacer, "look"), (Pacer, "may_refuse"), (Queue, "between"),
-           (Queue, "until")]
+COUNTED = [
+    (Pacer, "gate"),
+    (Pacer, "worth_at"),
+    (Pacer, "look"),
+    (Pacer, "may_refuse"),
+    (Queue, "between"),
+    (Queue, "until"),
+]
 
 
 @pytest.fixture
@@ -28,6 +34,7 @@
         def counted(*args: Any, **kwargs: Any) -> Any:
             counter[name] += 1
             return method(*args, **kwargs)
+
         monkeypatch.setattr(owner, name, counted)
 
     for owner, name in COUNTED:
@@ -63,6 +70,7 @@
 
         def step(n: int, bed: Bed = bed, out: list[io.Send] = out) -> None:
             out.extend(sends(bed.turn(bed.answer(out.pop(0)), bed.message(0))))
+
         done.append(work(counts, step, 50))
     assert done[1] <= 1.2 * done[0]
 
@@ -88,6 +96,7 @@
 
         def step(n: int, bed: Bed = bed) -> None:
             bed.turn(bed.message(n % 26))
+
         done.append(work(counts, step, 50))
         assert bed.pacer.held <= held
     assert done[1] <= 1.5 * done[0]
--- a/tests/upgrade/cut.py
+++ b/tests/upgrade/cut.py
@@ -16,11 +16,31 @@
 from garnetrelay.upgrade.channel import FRAME_TIME, Channel
 from garnetrelay.upgrade.protocol import Frame
 
-OLD = ("receive:Hello:after", "send:State:before", "send:State:after", "send:Clients:before", "send:Clients:after",
-       "send:IdleHosts:before", "send:IdleHosts:after", "send:Calls:before", "send:Calls:after", "send:End:before",
-       "send:End:after", "receive:Taken:after")
-NEW = ("send:Hello:before", "send:Hello:after", "receive:State:after", "receive:Clients:after",
-       "receive:IdleHosts:after", "receive:Calls:after", "receive:End:after", "send:Taken:before", "send:Taken:after")
+OLD = (
+    "receive:Hello:after",
+    "send:State:before",
+    "send:State:after",
+    "send:Clients:before",
+    "send:Clients:after",
+    "send:IdleHosts:before",
+    "send:IdleHosts:after",
+    "send:Calls:before",
+    "send:Calls:after",
+    "send:End:before",
+    "send:End:after",
+    "receive:Taken:after",
+)
+NEW = (
+    "send:Hello:before",
+    "send:Hello:after",
+    "receive:State:after",
+    "receive:Clients:after",
+    "receive:IdleHosts:after",
+    "receive:Calls:after",
+    "receive:End:after",
+    "send:Taken:before",
+    "send:Taken:after",
+)
 
 
 def cut_at(point: str) -> None:
--- a/tests/upgrade/test_cut.py
+++ b/tests/upgrade/test_cut.py
@@ -38,9 +38,17 @@
     async def start(self, point: str = "") -> asyncio.subprocess.Process:
         words = ["tests.upgrade.cut", point] if point else ["garnetrelay"]
         child = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", *words, cwd=ROOT, stderr=asyncio.subprocess.DEVNULL,
-            env={**os.environ, **self.field.environment(self.port),
-                 "RELAY_OPS": f"127.0.0.1:{self.staff[len(self.children)]}"})
+            sys.executable,
+            "-m",
+            *words,
+            cwd=ROOT,
+            stderr=asyncio.subprocess.DEVNULL,
+            env={
+                **os.environ,
+                **self.field.environment(self.port),
+                "RELAY_OPS": f"127.0.0.1:{self.staff[len(self.children)]}",
+            },
+        )
         self.children.append(child)
         return child
 
--- a/tests/upgrade/test_ownership.py
+++ b/tests/upgrade/test_ownership.py
@@ -13,8 +13,11 @@
 
 STATE = p.State(0, "", [], [], {})
 SENT: tuple[tuple[p.Frame, int], ...] = (
-    (STATE, 2), (p.Clients([p.Client(b"", True)]), 1), (p.Calls([p.Out("pay", "h", "h", 1, 0, 0, 1, True)]), 1),
-    (p.End(), 0))
+    (STATE, 2),
+    (p.Clients([p.Client(b"", True)]), 1),
+    (p.Calls([p.Out("pay", "h", "h", 1, 0, 0, 1, True)]), 1),
+    (p.End(), 0),
+)
 CALL = 2  # the frame that the attempt goes with
 
 
@@ -144,8 +147,7 @@
     if world.new_owner is Owner.NEW and (world.given < len(SENT) or world.down):
         return "the new process decides before all has come"
     call_with_old = world.old and world.given <= CALL and not world.anew
-    call_with_new = world.new and not world.folder and world.given > CALL and CALL not in world.down \
-        and world.has_state
+    call_with_new = world.new and not world.folder and world.given > CALL and CALL not in world.down and world.has_state
     if call_with_old and call_with_new:
         return "both have the attempt"
     return ""
@@ -219,9 +221,15 @@
         return Turn.READ
 
 
-@pytest.mark.parametrize("kind, named", [
-    (KeepsGiving, "nobody owns"), (StartsTooSoon, "starts anew beside"), (TakesEarly, "before all has come"),
-    (HoldsOn, "nobody owns")])
+@pytest.mark.parametrize(
+    "kind, named",
+    [
+        (KeepsGiving, "nobody owns"),
+        (StartsTooSoon, "starts anew beside"),
+        (TakesEarly, "before all has come"),
+        (HoldsOn, "nobody owns"),
+    ],
+)
 def test_planted_faults_are_found(kind: type[Giving] | type[Taking], named: str) -> None:
     def giver(world: World) -> Giving:
         return kind(world.old_owner, world.taken, world.over) if issubclass(kind, Giving) else giving(world)
--- a/tests/upgrade/test_upgrade.py
+++ b/tests/upgrade/test_upgrade.py
@@ -37,8 +37,13 @@
         assert self.child is not None
         self.older.append(self.child)
         self.child = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "garnetrelay", cwd=ROOT,
-            env={**os.environ, **self.field.environment(self.port)}, stderr=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "garnetrelay",
+            cwd=ROOT,
+            env={**os.environ, **self.field.environment(self.port)},
+            stderr=asyncio.subprocess.PIPE,
+        )
         await self.says(b"serves on")
 
     async def stop(self) -> None:
@@ -110,8 +115,7 @@
 
 
 @pytest.mark.parametrize("after", ["connect", "hello", "state"])
-async def test_old_process_outlives_one_that_fails_on_the_way(
-        field: Field, relay: Upgraded, after: str) -> None:
+async def test_old_process_outlives_one_that_fails_on_the_way(field: Field, relay: Upgraded, after: str) -> None:
     """Whoever asks dies before the hello, right behind it, or with the relay in its hands."""
     client = await relay.start()
     assert await client.enqueue("safe") == b"OK"
@@ -183,8 +187,11 @@
     second.handle(S, [roster])
     restore(second, remember(first))
     out = io.Recovered("out", 0, 1, None, 20 * S, 1, None, 0, "a", S)
-    sent = [a for a in second.handle(S, [out, io.Recovered("told", 0, 1, None, 19 * S, 1, None, -1)])
-            if isinstance(a, io.Send)]
+    sent = [
+        a
+        for a in second.handle(S, [out, io.Recovered("told", 0, 1, None, 19 * S, 1, None, -1)])
+        if isinstance(a, io.Send)
+    ]
     assert not sent and len(second.calls) == 1
     actions = second.handle(6 * S - 1, [io.Verdict("out", 0, "a", io.Status.OK, S, True, 0, False, None)])
     assert not [a for a in actions if isinstance(a, io.Send)] and not second.calls
@@ -199,7 +206,11 @@
     await relay.start()
     ends = [await field.platform.next_notice() for _ in range(4)]
     assert {end["ref"]: end["result"] for end in ends} == {
-        "pay": "dead", "key": "dead", "safe": "bounced", "failed": "dead"}
+        "pay": "dead",
+        "key": "dead",
+        "safe": "bounced",
+        "failed": "dead",
+    }
     assert await relay.end(signal.SIGTERM) == 0
     assert field.host.calls.empty() and field.platform.notices.empty()
 
@@ -260,9 +271,17 @@
     client = await relay.start()
     assert await client.enqueue("pay", "unsafe") == b"OK"
     call = await field.host.next_call()
-    children = [await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "garnetrelay", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-        env={**os.environ, **field.environment(relay.port)}) for _ in range(2)]
+    children = [
+        await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "garnetrelay",
+            cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, **field.environment(relay.port)},
+        )
+        for _ in range(2)
+    ]
     relay.older += children
     logs = [asyncio.create_task(_first(child, (b"serves on", b"cannot start"))) for child in children]
     said = sorted([await log for log in logs])
