--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,8 @@
 rehearse: setup  ## plays a scenario against real relays: make rehearse SCENARIO=calm OPTIONS='--seed 3'
 	$(TOOLS)/bin/garnetrelay rehearse $(SCENARIO) $(OPTIONS)
 
-test: setup  ## lint, types and all tests
+test: setup  ## format, lint, types and all tests
+	$(TOOLS)/bin/ruff format --check .
 	$(TOOLS)/bin/ruff check .
 	$(TOOLS)/bin/mypy
 	PYTHONDONTWRITEBYTECODE=1 $(TOOLS)/bin/python -m pytest -q -p no:cacheprovider -n 2 --dist worksteal
