--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import copy
 import json
 import os
@@ -174,10 +175,8 @@
 
 async def _sample(pids: list[int], seen: Seen) -> None:
     while True:
-        try:
+        with contextlib.suppress(OSError):
             seen.both_mb = max(seen.both_mb, sum(memory_mb(pid) for pid in pids))
-        except OSError:
-            pass
         seen.descriptors = max(seen.descriptors, sum(_descriptors(pid) for pid in pids))
         await asyncio.sleep(0.002)
 
--- a/garnetrelay/delivery/http/hosts.py
+++ b/garnetrelay/delivery/http/hosts.py
@@ -21,8 +21,8 @@
 from collections.abc import Callable
 from typing import cast
 
-from garnetrelay.delivery.http.answers import AnswerReader, Outcome
 from garnetrelay.config.deployment import Address
+from garnetrelay.delivery.http.answers import AnswerReader, Outcome
 from garnetrelay.looks import after_a_look
 from starlingwick import interface as io
 
--- a/garnetrelay/operators/front.py
+++ b/garnetrelay/operators/front.py
@@ -9,8 +9,8 @@
 import logging
 from typing import cast
 
-from garnetrelay.operators.calls import MOST_LINE, Service, answer
 from garnetrelay.config.deployment import Address
+from garnetrelay.operators.calls import MOST_LINE, Service, answer
 
 log = logging.getLogger(__name__)
 
--- a/garnetrelay/platform/notices.py
+++ b/garnetrelay/platform/notices.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 from typing import cast
 
-from garnetrelay.delivery.http.answers import AnswerReader
 from garnetrelay.config.deployment import Address
+from garnetrelay.delivery.http.answers import AnswerReader
 
 log = logging.getLogger(__name__)
 
--- a/garnetrelay/rehearsal/clock.py
+++ b/garnetrelay/rehearsal/clock.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from typing import Any
 
-
 ROUNDS = 6  # of the loop, from a connection that waits to be accepted to the first read on it, and one to spare
 
 
--- a/garnetrelay/rehearsal/relays.py
+++ b/garnetrelay/rehearsal/relays.py
@@ -11,7 +11,6 @@
 import signal
 import socket
 import sys
-
 from pathlib import Path
 
 from garnetrelay.rehearsal import events as ev
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -16,17 +16,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from garnetrelay.config.deployment import Address, Config
+from garnetrelay.counts import Counts
 from garnetrelay.delivery.http import hosts as net
 from garnetrelay.delivery.http.answers import Outcome
 from garnetrelay.fronts.resp.server import Rejected, Reply, Request, Server
-from garnetrelay.config.deployment import Address, Config
-from garnetrelay.counts import Counts
-from garnetrelay.membership.register import Discovery, News, Reader
-from garnetrelay.store.format import Entry
-from garnetrelay.store.store import Store
 from garnetrelay.lag import Lag
 from garnetrelay.looks import PAUSE, after_a_look
+from garnetrelay.membership.register import Discovery, News, Reader
 from garnetrelay.platform.notices import Notices
+from garnetrelay.store.format import Entry
+from garnetrelay.store.store import Store
 from garnetrelay.untried import Untried
 from starlingwick import interface as io
 from starlingwick.control import MAY_HAVE_RUN, Pacer
--- a/garnetrelay/store/store.py
+++ b/garnetrelay/store/store.py
@@ -18,8 +18,8 @@
 from pathlib import Path
 
 from garnetrelay.store import cleaning, legacy
-from garnetrelay.store.ahead import Ahead, catch_up
 from garnetrelay.store import format as fmt
+from garnetrelay.store.ahead import Ahead, catch_up
 from garnetrelay.store.format import Entry, LaterVersion, Record
 from garnetrelay.store.index import TRIES, Index, Segment, begin, reserve, settle
 from garnetrelay.store.storage import Folder, Storage, blocks
--- a/garnetrelay/upgrade/channel.py
+++ b/garnetrelay/upgrade/channel.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import select
 import socket
@@ -95,10 +96,8 @@
 
     def listen(self) -> socket.socket:
         """Take the place of whoever listened before."""
-        try:
+        with contextlib.suppress(FileNotFoundError):
             os.unlink(self._name)
-        except FileNotFoundError:
-            pass
         listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
             before = os.umask(0o177)
--- a/garnetrelay/upgrade/take.py
+++ b/garnetrelay/upgrade/take.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import logging
 import os
@@ -144,10 +145,8 @@
     def bye(self) -> None:
         """This process stops: its end is no failure."""
         if self._channel is not None:
-            try:
+            with contextlib.suppress(ChannelError):
                 self._channel.send(p.Bye())
-            except ChannelError:
-                pass
             self._drop()
 
     def _drop(self) -> None:
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -930,10 +930,7 @@
     def climb(self, dest: Destination) -> None:
         """The slower, exponential way back to the target; a ceiling that reaches it is dropped."""
         while dest.ceiling is not None and self.now >= dest.ceiling_at + CLIMB_EVERY:
-            if dest.listed:
-                target = dest.listed / self.settings.relays
-            else:
-                target = 2 * self.rate(dest.arrived, SENT_SPAN)
+            target = dest.listed / self.settings.relays if dest.listed else 2 * self.rate(dest.arrived, SENT_SPAN)
             dest.ceiling_at += CLIMB_EVERY
             dest.ceiling += CLIMB_SHARE * max(0.0, target - dest.ceiling)
             if dest.ceiling >= REACHED * target:
--- a/tests/fleet/test_frames.py
+++ b/tests/fleet/test_frames.py
@@ -31,21 +31,21 @@
 
 def test_every_kind_of_frame_comes_back_as_it_went() -> None:
     codec = fr.Codec([NEW])
-    rest = dict(
-        sender=CLAIM,
-        sequence=9,
-        number=1 << 62,
-        claims=[CLAIM.judged(Status.FAILED, "n2")],
-        summary=fr.Summary(0xFFFFFFFF, 1000),
-        words=fr.pack_words([fr.Word(1, 20, 3)] * fr.MOST_WORDS),
-    )
+    rest = {
+        "sender": CLAIM,
+        "sequence": 9,
+        "number": 1 << 62,
+        "claims": [CLAIM.judged(Status.FAILED, "n2")],
+        "summary": fr.Summary(0xFFFFFFFF, 1000),
+        "words": fr.pack_words([fr.Word(1, 20, 3)] * fr.MOST_WORDS),
+    }
     for frame in (
-        fr.Ping(origin="n3", **rest),
+        fr.Ping(origin="n3", **rest),  # type: ignore[arg-type]
         fr.Ack(heard=-1, **rest),  # type: ignore[arg-type]
         fr.AskFor(target="n2", host="::1", port=1, **rest),  # type: ignore[arg-type]
         fr.Vouch(target="n2", life=MOST_LIFE, process=0, incarnation=MOST_INCARNATION, **rest),  # type: ignore[arg-type]
-        fr.Nack(**rest),
-    ):  # type: ignore[arg-type]
+        fr.Nack(**rest),  # type: ignore[arg-type]
+    ):
         assert codec.decode(codec.encode(frame, 2)) == frame
     for frame in (fr.Hello(**rest), fr.Whole(ask=4, **rest)):  # type: ignore[arg-type, assignment]
         assert codec.decode(codec.encode(frame, 2), exchange=True) == frame
--- a/tests/fleet/test_untold.py
+++ b/tests/fleet/test_untold.py
@@ -28,7 +28,7 @@
         load * sum(one.limit for one in shared),
         seed,
         listed_rates=False,
-        limits=dict(probes=False, most_tries=4, retry_after=True),
+        limits={"probes": False, "most_tries": 4, "retry_after": True},
     )
     fleet.run(30)
     answers = [status for one in shared for _, status in one.got]
--- a/tests/fleet/world.py
+++ b/tests/fleet/world.py
@@ -148,8 +148,8 @@
             self.at(
                 when,
                 self.random.randrange(len(self.pacers)),
-                lambda n=n, dest=dest: io.Arrived(f"m{n}", 0, SAFE, dest, None, 20 * S),
-            )  # type: ignore[misc]
+                lambda n=n, dest=dest: io.Arrived(f"m{n}", 0, SAFE, dest, None, 20 * S),  # type: ignore[misc]
+            )
         while self.queue and self.queue[0][0] < end + 5 * S:
             now, _, relay, event = heapq.heappop(self.queue)
             for action in self.pacers[relay].handle(now, [event()]):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -27,57 +27,57 @@
 
 
 def settings(**changes: Any) -> io.Settings:
-    rules: dict[str, Any] = dict(
-        answer_slack=20 * MS,
-        ask_every=10 * S,
-        drain_grace=S,
-        fall=2 * S,
-        fall_multiple=2.0,
-        ramp_time=10 * S,
-        start_capacity=0.2,
-        turn_gap=0,
-    )
-    limits: dict[str, Any] = dict(
-        cancel=True,
-        probes=True,
-        peers=False,
-        second_copies=False,
-        retry_after=False,
-        most_held=100,
-        most_tries=6,
-        max_retry_after=2 * S,
-        connect_timeout=S,
-        conn_idle=10 * S,
-    )
+    rules: dict[str, Any] = {
+        "answer_slack": 20 * MS,
+        "ask_every": 10 * S,
+        "drain_grace": S,
+        "fall": 2 * S,
+        "fall_multiple": 2.0,
+        "ramp_time": 10 * S,
+        "start_capacity": 0.2,
+        "turn_gap": 0,
+    }
+    limits: dict[str, Any] = {
+        "cancel": True,
+        "probes": True,
+        "peers": False,
+        "second_copies": False,
+        "retry_after": False,
+        "most_held": 100,
+        "most_tries": 6,
+        "max_retry_after": 2 * S,
+        "connect_timeout": S,
+        "conn_idle": 10 * S,
+    }
     rules.update(changes.pop("rules", {}))
     limits.update(changes.pop("limits", {}))
-    values: dict[str, Any] = dict(
-        relays=2,
-        slots=8,
-        tick=5 * MS,
-        zone=0,
-        discovery=io.Discovery.AUTOMATIC,
-        listed_rates=False,
-        decay=io.Decay.EVEN,
-        classes=(
+    values: dict[str, Any] = {
+        "relays": 2,
+        "slots": 8,
+        "tick": 5 * MS,
+        "zone": 0,
+        "discovery": io.Discovery.AUTOMATIC,
+        "listed_rates": False,
+        "decay": io.Decay.EVEN,
+        "classes": (
             klass(io.Repeat.SAFE),
             klass(io.Repeat.KEYED),
             klass(io.Repeat.UNSAFE),
             klass(io.Repeat.KEYED, in_turn=True),
         ),
-        kinds=(
+        "kinds": (
             io.Kind(apart=False, per_call=1),
             io.Kind(apart=True, per_call=1),
             io.Kind(apart=False, per_call=4),
         ),
-        tenant_rates=(),
-        over_share_worth=0.1,
-        zone_fees=(),
-        refused_price=0.0,
-        prices={},
-        rules=io.Rules(**rules),
-        limits=io.Limits(**limits),
-    )
+        "tenant_rates": (),
+        "over_share_worth": 0.1,
+        "zone_fees": (),
+        "refused_price": 0.0,
+        "prices": {},
+        "rules": io.Rules(**rules),
+        "limits": io.Limits(**limits),
+    }
     values.update(changes)
     return io.Settings(**values)
 
--- a/tests/operators/test_cli.py
+++ b/tests/operators/test_cli.py
@@ -44,7 +44,7 @@
     assert await command("operators", "health", "--at", staff) == (0, "it serves\n")
     assert (await command("operators", "offline", "--at", staff, "s-none"))[0] == 1
     assert await command("operators", "offline", "--at", staff, "s-1") == (0, "s-1 is out\n")
-    assert "relay_hosts_excluded 1\n" == (await command("operators", "figures", "--at", staff, "--only", "excl"))[1]
+    assert (await command("operators", "figures", "--at", staff, "--only", "excl"))[1] == "relay_hosts_excluded 1\n"
 
     state, log = str(field.state), str(tmp_path / "log")
     words = ("upgrade", "--state", state, "--staff", later, "--log", log)
@@ -57,7 +57,7 @@
     new = serving(field.state)
     assert new is not None and process.child is not None and await process.end(signal.SIGTERM) == 0
     assert await client.ask("PING") == b"PONG" and await (await Client.connect(process.port)).ask("PING") == b"PONG"
-    assert "relay_hosts_excluded 1\n" == (await command("operators", "figures", "--at", later, "--only", "excl"))[1]
+    assert (await command("operators", "figures", "--at", later, "--only", "excl"))[1] == "relay_hosts_excluded 1\n"
     ended, watched = asyncio.Event(), os.pidfd_open(new)
     asyncio.get_running_loop().add_reader(watched, ended.set)
     os.kill(new, signal.SIGTERM)
--- a/tests/rehearsal/faults.py
+++ b/tests/rehearsal/faults.py
@@ -21,9 +21,8 @@
 from garnetrelay.operators import exclusions
 from garnetrelay.platform import notices
 from garnetrelay.store import store
-from starlingwick import control
+from starlingwick import control, memory
 from starlingwick import interface as io
-from starlingwick import memory
 
 SECOND = 1_000_000_000
 
--- a/tests/rehearsal/test_partners.py
+++ b/tests/rehearsal/test_partners.py
@@ -11,27 +11,27 @@
 
 
 def partner(**changes: object) -> Partner:
-    values: dict[str, object] = dict(
-        number=1,
-        kind="k",
-        apart=False,
-        routes=(RoutePlan("r1", "north"), RoutePlan("r2", "south")),
-        weight=1.0,
-        full=10.0,
-        capacity=20.0,
-        service=100 * MS,
-        spread=0.1,
-        slots=1,
-        depth=1,
-        limit="none",
-        limit_rate=10.0,
-        listed=10.0,
-        span=2 * SECOND,
-        tells_wait=1.0,
-        refused_count=False,
-        connections=0,
-        report_every=0,
-    )
+    values: dict[str, object] = {
+        "number": 1,
+        "kind": "k",
+        "apart": False,
+        "routes": (RoutePlan("r1", "north"), RoutePlan("r2", "south")),
+        "weight": 1.0,
+        "full": 10.0,
+        "capacity": 20.0,
+        "service": 100 * MS,
+        "spread": 0.1,
+        "slots": 1,
+        "depth": 1,
+        "limit": "none",
+        "limit_rate": 10.0,
+        "listed": 10.0,
+        "span": 2 * SECOND,
+        "tells_wait": 1.0,
+        "refused_count": False,
+        "connections": 0,
+        "report_every": 0,
+    }
     return Partner(PartnerPlan(**{**values, **changes}), 1, 3 * SECOND, 2.0)  # type: ignore[arg-type]
 
 
--- a/tests/rehearsal/test_scenario.py
+++ b/tests/rehearsal/test_scenario.py
@@ -67,7 +67,7 @@
     assert all(0 <= a.at < made.length and 1 <= a.dest <= len(made.partners) for a in made.arrivals)
     assert list(made.arrivals) == sorted(made.arrivals, key=lambda a: a.at) and made.partners
     assert all(p.capacity > 0 and p.slots > 0 and p.listed > 0 and p.routes for p in made.partners)
-    assert all(0 <= step.at and (not step.ends or step.ends > step.at) for step in made.steps)
+    assert all(step.at >= 0 and (not step.ends or step.ends > step.at) for step in made.steps)
     assert len({route.name for p in made.partners for route in p.routes}) == sum(p.route_count for p in made.partners)
 
 
--- a/tests/store/explore.py
+++ b/tests/store/explore.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import argparse
+import contextlib
 import copy
 import errno
 import logging
@@ -213,18 +214,14 @@
         if count >= stops:
             break
         stopped, model = disk(stop), Model()
-        try:
+        with contextlib.suppress(Stopped):
             Workload(seed, stopped, model, steps).run(machine)
-        except Stopped:
-            pass
         after = stopped.stopped()
         # The start itself may be stopped, and the one after it.
         for _ in range(draw.randrange(3)):
             after.stop_at = after.operations + draw.randrange(1, 6)
-            try:
+            with contextlib.suppress(Stopped):
                 Store(after, DISK, machine)
-            except Stopped:
-                pass
             after = after.stopped()
             count += 1
         after.stop_at = 0
--- a/tests/store/mutations.py
+++ b/tests/store/mutations.py
@@ -8,9 +8,9 @@
 from contextlib import contextmanager
 from typing import Any
 
-from garnetrelay.store import store
 from garnetrelay.store import format as fmt
 from garnetrelay.store import index as ix
+from garnetrelay.store import store
 from tests.store import explore
 
 Plant = Callable[[], tuple[Any, str, Any]]
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,13 +13,13 @@
 import hiredis
 import pytest
 
+from garnetrelay import relay as relay_module
 from garnetrelay.config.deployment import Address
 from garnetrelay.delivery.http import hosts
 from garnetrelay.delivery.http.answers import Outcome
 from garnetrelay.fronts.resp import server as clients
 from garnetrelay.membership import register
 from garnetrelay.membership.register import Lines, Unread
-from garnetrelay import relay as relay_module
 from garnetrelay.platform import notices
 from garnetrelay.rehearsal.http import Call
 from garnetrelay.rehearsal.scripted import PATIENCE, ScriptedHost, ScriptedPlatform
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -31,38 +31,38 @@
                 draw.random() < 0.3,
             )
         )
-    return dict(
-        relays=draw.choice([1, 3, 8, 500]),
-        slots=draw.choice([1, 2, 9]),
-        tick=draw.choice([0, 5 * MS]),
-        discovery=draw.choice(list(io.Discovery)),
-        listed_rates=draw.random() < 0.5,
-        decay=draw.choice(list(io.Decay)),
-        classes=tuple(classes),
-        kinds=(io.Kind(draw.random() < 0.5, draw.choice([1, 4])),),
-        zone_fees=draw.choice([(), (0.0, 1.0)]),
-        tenant_rates=draw.choice([(), (0.0, 5.0)]),
-        rules=dict(
-            answer_slack=draw.choice([0, S]),
-            ask_every=draw.choice([0, S]),
-            drain_grace=0,
-            fall=draw.choice([1, S]),
-            fall_multiple=draw.choice([0.01, 3.0]),
-            ramp_time=draw.choice([0, 1, S]),
-            start_capacity=draw.choice([0.001, 1.0]),
-            turn_gap=draw.choice([0, S]),
-        ),
-        limits=dict(
-            cancel=draw.random() < 0.5,
-            probes=draw.random() < 0.5,
-            retry_after=draw.random() < 0.5,
-            most_held=draw.choice([1, 2, 30]),
-            most_tries=draw.choice([1, 2, 40]),
-            max_retry_after=draw.choice([0, S]),
-            connect_timeout=0,
-            conn_idle=draw.choice([0, S]),
-        ),
-    )
+    return {
+        "relays": draw.choice([1, 3, 8, 500]),
+        "slots": draw.choice([1, 2, 9]),
+        "tick": draw.choice([0, 5 * MS]),
+        "discovery": draw.choice(list(io.Discovery)),
+        "listed_rates": draw.random() < 0.5,
+        "decay": draw.choice(list(io.Decay)),
+        "classes": tuple(classes),
+        "kinds": (io.Kind(draw.random() < 0.5, draw.choice([1, 4])),),
+        "zone_fees": draw.choice([(), (0.0, 1.0)]),
+        "tenant_rates": draw.choice([(), (0.0, 5.0)]),
+        "rules": {
+            "answer_slack": draw.choice([0, S]),
+            "ask_every": draw.choice([0, S]),
+            "drain_grace": 0,
+            "fall": draw.choice([1, S]),
+            "fall_multiple": draw.choice([0.01, 3.0]),
+            "ramp_time": draw.choice([0, 1, S]),
+            "start_capacity": draw.choice([0.001, 1.0]),
+            "turn_gap": draw.choice([0, S]),
+        },
+        "limits": {
+            "cancel": draw.random() < 0.5,
+            "probes": draw.random() < 0.5,
+            "retry_after": draw.random() < 0.5,
+            "most_held": draw.choice([1, 2, 30]),
+            "most_tries": draw.choice([1, 2, 40]),
+            "max_retry_after": draw.choice([0, S]),
+            "connect_timeout": 0,
+            "conn_idle": draw.choice([0, S]),
+        },
+    }
 
 
 @pytest.mark.parametrize("seed", range(60))
@@ -97,13 +97,13 @@
 
 def test_a_hold_of_one_message_holds_it() -> None:
     """Room kept for newcomers left none for the only one: each was refused in the turn that brought it."""
-    relay = Relay(entry("a"), limits=dict(most_held=1))
+    relay = Relay(entry("a"), limits={"most_held": 1})
     relay.turn(relay.message())
     assert [send.call for send in relay.sends()] == ["m1"]
 
 
 def test_no_ramp_at_all_is_a_ramp_that_is_over() -> None:
-    relay = Relay(entry("a"), rules=dict(ramp_time=0))
+    relay = Relay(entry("a"), rules={"ramp_time": 0})
     relay.serve(2)
     assert relay.pacer.held == 0
 
@@ -129,7 +129,7 @@
 def test_the_first_asking_among_many_comes_while_the_list_that_is_known_still_holds(within: int, seed: int) -> None:
     """Spread over 20 s among 200 relays, it came up to 10 s after the list of the configuration had ceased to hold; after
     a failure that is four times as long."""
-    relay = Relay(entry("a"), seed=seed, relays=200, discovery=io.Discovery.SUBSCRIBE, rules=dict(ask_every=within))
+    relay = Relay(entry("a"), seed=seed, relays=200, discovery=io.Discovery.SUBSCRIBE, rules={"ask_every": within})
     pacer = relay.pacer
     assert pacer.ask_at - 1000 * S <= within - 2 * S
     pacer.ask_at = relay.now
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -25,7 +25,7 @@
     """One slot; each call takes half a second, and two messages come meanwhile, dearer by far."""
     classes = settings().classes
     dear = dataclasses.replace(classes[SAFE], worth=10.0)
-    relay = Relay(entry("a"), slots=1, limits=dict(most_held=1000), classes=(*classes, dear))
+    relay = Relay(entry("a"), slots=1, limits={"most_held": 1000}, classes=(*classes, dear))
     relay.turn(relay.message(len(classes)))
     relay.turn(*(recovered(f"old{n}", klass, 10 * S) for n in range(5)))
     called = []
@@ -40,7 +40,7 @@
 
 
 def test_one_that_was_tried_is_owed_nothing() -> None:
-    relay = Relay(entry("a", state=io.Availability.STOPPING), limits=dict(most_held=16))
+    relay = Relay(entry("a", state=io.Availability.STOPPING), limits={"most_held": 16})
     relay.turn(*(recovered(f"old{n}", left=2 * S, attempts=1) for n in range(15)))
     relay.turn(*(relay.message(SAFE) for _ in range(10)))
     assert len([name for name in ends(relay) if name.startswith("old")]) >= 10
@@ -48,7 +48,7 @@
 
 
 def test_a_full_hold_sheds_newcomers_first() -> None:
-    relay = Relay(entry("a", state=io.Availability.STOPPING), limits=dict(most_held=16))
+    relay = Relay(entry("a", state=io.Availability.STOPPING), limits={"most_held": 16})
     relay.turn(*(recovered(f"old{n}", left=2 * S) for n in range(15)))
     relay.turn(*(relay.message(SAFE) for _ in range(10)))
     assert len(ends(relay)) == 10 and not any(name.startswith("old") for name in ends(relay))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -160,7 +160,7 @@
 
 
 def recovered(call: str, klass: int, **changes: Any) -> io.Recovered:
-    values: dict[str, Any] = dict(dest=1, key=None, patience=20 * S, attempts=0, ran_ago=None, ran_zone=0)
+    values: dict[str, Any] = {"dest": 1, "key": None, "patience": 20 * S, "attempts": 0, "ran_ago": None, "ran_zone": 0}
     return io.Recovered(call, klass, **(values | changes))
 
 
--- a/tests/upgrade/test_cut.py
+++ b/tests/upgrade/test_cut.py
@@ -14,7 +14,6 @@
 import pytest
 import pytest_asyncio
 
-
 from tests.sockets import Client, Field
 from tests.test_process import ROOT
 from tests.upgrade.cut import NEW, OLD
