The circle of relay, operators and upgrade cut by typed protocols; pending.py

Change: OperatedRelay (operators/service.py) and PassingRelay (upgrade/interface.py) say what staff's calls and a handover need; Relay fits both and mypy checks it. Held moves from relay.py to pending.py as PendingMessage. No behaviour with it.

--- a/garnetrelay/operators/service.py
+++ b/garnetrelay/operators/service.py
@@ -2,24 +2,96 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from garnetrelay.config.deployment import Address
+from garnetrelay.config.deployment import Address, Config
+from garnetrelay.counts import Counts
 from garnetrelay.operators import figures
 from garnetrelay.operators.calls import Refused
 from garnetrelay.operators.exclusions import Exclusions
 from garnetrelay.operators.front import Front
-from garnetrelay.upgrade.protocol import Owner
 from starlingwick import interface as io
 
-if TYPE_CHECKING:
-    from garnetrelay.relay import Relay
+
+class OperatedFleet(Protocol):
+    """What staff ask of the relays that know each other. Texts are lines as ``docs/operations/fleet.md`` has them."""
+
+    closed: bool  # this process has no part in the fleet any more
+
+    def figures(self) -> str:
+        """The figures, a line each."""
+        ...
+
+    def listing(self) -> str:
+        """All members."""
+        ...
+
+    def explain(self, name: str) -> list[str] | None:
+        """What is known of one; None where it was never heard of."""
+        ...
+
+    def leave(self) -> None:
+        """Tell the others that this relay goes."""
+        ...
+
+
+class Successor(Protocol):
+    """The process that the relay has passed to."""
+
+    def exclude(self, host: str, out: bool) -> str:
+        """Pass on a host taken out or put back; why it can't be done, or nothing."""
+        ...
+
+
+class OperatedRelay(Protocol):
+    """What staff's calls need of a relay. ``Relay`` fits it without naming it: neither module imports the other's."""
+
+    config: Config
+    counts: Counts
+    serving: bool
+
+    @property
+    def fleet(self) -> OperatedFleet | None:
+        """None where relays do not know each other."""
+        ...
+
+    def draining(self) -> bool:
+        """Whether it closes what clients have open, to end."""
+        ...
+
+    def successor(self) -> Successor | None:
+        """None while the relay is this process's."""
+        ...
+
+    def in_flight(self) -> int:
+        """How many messages are taken on and not ended."""
+        ...
+
+    def calls_written(self) -> int:
+        """How many calls were written whole to hosts since the start."""
+        ...
+
+    def hosts_known(self) -> int:
+        """How many hosts the list names."""
+        ...
+
+    def hosts_avoided(self) -> int:
+        """How many of them get no calls."""
+        ...
+
+    def knows_host(self, host: str) -> bool:
+        """Whether the list names a host, or has named it."""
+        ...
+
+    def exclude(self, host: str, out: bool) -> None:
+        """Take a host out, or put it back; in force at once."""
+        ...
 
 
 class Operators:
     """Answers staff for one relay."""
 
-    def __init__(self, relay: Relay) -> None:
+    def __init__(self, relay: OperatedRelay) -> None:
         self.relay = relay
         self.exclusions = Exclusions(relay.config.state, relay.config.machine_durable)
         self.front = Front(self)
@@ -42,13 +114,14 @@
     def health(self) -> None:
         if not self.relay.serving:  # a relay that has passed to a new process serves on there
             raise Refused("it does not serve yet")
-        if self.relay.server.draining:
+        if self.relay.draining():
             raise Refused("it is stopping")
 
     def figures(self) -> str:
         relay = self.relay
-        in_flight = sum(not message.over for message in relay.held.values()) + len(relay.recovering)
-        text = figures.text(relay.counts, relay.hosts.calls_written, in_flight, len(relay.listed), relay.pacer.avoided())
+        text = figures.text(
+            relay.counts, relay.calls_written(), relay.in_flight(), relay.hosts_known(), relay.hosts_avoided()
+        )
         return text if relay.fleet is None or relay.fleet.closed else text + relay.fleet.figures()
 
     def fleet(self, words: list[str]) -> str:
@@ -69,12 +142,13 @@
 
     def exclude(self, host: str, out: bool) -> None:
         relay = self.relay
-        if relay.giver is not None and relay.giver.state.owner is Owner.NEW:
-            error = relay.giver.exclude(host, out)
+        successor = relay.successor()
+        if successor is not None:
+            error = successor.exclude(host, out)
             if error:
                 raise Refused(error)
             return
-        if host not in relay.listed and host not in relay.gone and host not in self.exclusions.names:
+        if not relay.knows_host(host) and host not in self.exclusions.names:
             raise Refused(f"no host {host} was ever listed")
         if self.exclusions.put(host, out):
             relay.exclude(host, out)
--- /dev/null
+++ b/garnetrelay/pending.py
@@ -0,0 +1,26 @@
+"""The record of one message that this relay has taken on and that has not ended. No I/O.
+
+Owned by the core (``relay.py``), which keeps one for each such message; a handover (``upgrade/``) reads them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from garnetrelay.delivery.http.hosts import Exchange
+
+
+@dataclass(slots=True, eq=False)
+class PendingMessage:
+    """A message from its acceptance until its end is told and its last attempt has an outcome."""
+
+    ref: str
+    klass: str
+    key: str | None
+    body: bytes
+    ends_at: int  # monotonic clock, nanoseconds: an answer behind that is none
+    attempts: int = 0
+    exchange: Exchange | None = None
+    over: bool = False
+    sent_at: int = 0  # of the last attempt, monotonic clock
+    zone: int = -1  # the same: its host's
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -24,6 +24,7 @@
 from garnetrelay.lag import Lag
 from garnetrelay.looks import PAUSE, after_a_look
 from garnetrelay.membership.register import Discovery, News, Reader
+from garnetrelay.pending import PendingMessage
 from garnetrelay.platform.notices import Notices
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
@@ -56,22 +57,6 @@
 LAST_RECORD = SECOND // 2  # behind STOP_AFTER, for records that answers wait for: still ahead of SIGKILL
 
 
-@dataclass(slots=True, eq=False)
-class Held:
-    """A message in our hands, until its end is told and its last attempt has an outcome."""
-
-    ref: str
-    klass: str
-    key: str | None
-    body: bytes
-    ends_at: int  # monotonic clock, nanoseconds: an answer behind that is none
-    attempts: int = 0
-    exchange: net.Exchange | None = None
-    over: bool = False
-    sent_at: int = 0  # of the last attempt, monotonic clock
-    zone: int = -1  # the same: its host's
-
-
 @dataclass(slots=True)
 class Newcomer:
     """A message whose client waits to hear whether it is taken on."""
@@ -87,7 +72,7 @@
     """One call with a message: what goes on record of it, and what the Pacer hears."""
 
     relay: Relay
-    message: Held
+    message: PendingMessage
     host: str
     number: int
     started: int  # monotonic clock, as is the next
@@ -168,7 +153,7 @@
         self.giver: Giver | None = None
         self.hearing: Hearing | None = None
         self.dests: set[int] = set()  # all that the list has ever named
-        self.held: dict[str, Held] = {}
+        self.held: dict[str, PendingMessage] = {}
         self.untried = Untried()
         self.recovering: deque[Entry] = deque()  # picked up, and not yet with the Pacer
         self.newcomers: dict[str, Newcomer] = {}
@@ -355,6 +340,29 @@
         self.hosts.close()
         self.journal.close()
 
+    # ---- what staff ask (``operators.service.OperatedRelay``)
+
+    def draining(self) -> bool:
+        return self.server.draining
+
+    def successor(self) -> Giver | None:
+        return self.giver if self.giver is not None and self.giver.passed else None
+
+    def in_flight(self) -> int:
+        return sum(not message.over for message in self.held.values()) + len(self.recovering)
+
+    def calls_written(self) -> int:
+        return self.hosts.calls_written
+
+    def hosts_known(self) -> int:
+        return len(self.listed)
+
+    def hosts_avoided(self) -> int:
+        return self.pacer.avoided()
+
+    def knows_host(self, host: str) -> bool:
+        return host in self.listed or host in self.gone
+
     # ---- the start
 
     def _read_known(self) -> None:
@@ -447,7 +455,7 @@
             if not entry.attempts:
                 self.untried.find(entry.ref)
             ends_at = time.monotonic_ns() + (entry.deadline - now_ms) * MS
-            self.held[entry.ref] = Held(entry.ref, entry.klass, entry.key, entry.body, ends_at, entry.attempts)
+            self.held[entry.ref] = PendingMessage(entry.ref, entry.klass, entry.key, entry.body, ends_at, entry.attempts)
             self.post(self._recovered(entry, now_ms))
 
     def _recovered(self, entry: Entry, now_ms: int) -> io.Recovered:
@@ -646,7 +654,7 @@
                 self.post(io.Withdrawn(ref))
                 continue
             self.journal.taken(Entry(ref, request.klass, request.dest, request.key, newcomer.deadline, request.body))
-            self.held[ref] = Held(ref, request.klass, request.key, request.body, newcomer.ends_at)
+            self.held[ref] = PendingMessage(ref, request.klass, request.key, request.body, newcomer.ends_at)
             noted.append(newcomer)
         return noted
 
@@ -753,7 +761,7 @@
             self.journal.ended(ref, result, wait_ms)
             self.ends.append((ref, result, wait_ms))
 
-    def finish(self, message: Held, result: str | None, wait_ms: int, tell: str | None = None) -> None:
+    def finish(self, message: PendingMessage, result: str | None, wait_ms: int, tell: str | None = None) -> None:
         """A message has ended with a result, None: delivered. ``tell``: what the platform hears even so."""
         if message.over:
             return
--- a/garnetrelay/upgrade/give.py
+++ b/garnetrelay/upgrade/give.py
@@ -22,7 +22,8 @@
 if TYPE_CHECKING:
     from garnetrelay.delivery.http import hosts as net
     from garnetrelay.fronts.resp import server as front
-    from garnetrelay.relay import Held, Relay
+    from garnetrelay.pending import PendingMessage
+    from garnetrelay.upgrade.interface import PassingRelay
 
 log = logging.getLogger(__name__)
 
@@ -57,7 +58,7 @@
 class Giver:
     """Waits for a new process, and gives it the relay."""
 
-    def __init__(self, relay: Relay) -> None:
+    def __init__(self, relay: PassingRelay) -> None:
         self.relay = relay
         self.loop = asyncio.get_running_loop()
         self.state = p.Giving()
@@ -68,6 +69,11 @@
         self.listener = self.door.listen()
         self.loop.add_reader(self.listener, self._accept)
 
+    @property
+    def passed(self) -> bool:
+        """Whether the relay is the new process's."""
+        return self.state.owner is p.Owner.NEW
+
     def close(self) -> None:
         self.loop.remove_reader(self.listener)
         self.door.close()
@@ -90,7 +96,7 @@
         self.task = None
         if not task.cancelled() and (error := task.exception()) is not None:
             log.error("upgrade failed", exc_info=error)
-            if self.state.owner is p.Owner.NEW:
+            if self.passed:
                 self._follow(self.state.lost())
 
     # ---- up to the freeze
@@ -350,13 +356,13 @@
     return [connection.descriptor for connection in connections]
 
 
-def _out(messages: Iterable[Held]) -> Iterator[tuple[Held, net.Exchange]]:
+def _out(messages: Iterable[PendingMessage]) -> Iterator[tuple[PendingMessage, net.Exchange]]:
     for message in list(messages):
         if message.exchange is not None:
             yield message, message.exchange
 
 
-def _passing(messages: Iterable[Held]) -> Iterator[tuple[Held, net.Exchange, net.Connection]]:
+def _passing(messages: Iterable[PendingMessage]) -> Iterator[tuple[PendingMessage, net.Exchange, net.Connection]]:
     """Calls that pass. That of a message which has ended meanwhile is not waited for: its connection closes."""
     for message, exchange in _out(messages):
         if not message.over and exchange.connection is not None and exchange.connection.can_pass:
