Docstrings on the public names of eight packages

Change: a docstring on each; no code with it (the syntax trees without docstrings are the same as before).

--- a/garnetrelay/cli/commands.py
+++ b/garnetrelay/cli/commands.py
@@ -21,9 +21,11 @@
     """A group whose subcommands are imported by name."""
 
     def list_commands(self, context: click.Context) -> list[str]:
+        """All subcommands by name, in the order of ``--help``."""
         return sorted(SUBCOMMANDS)
 
     def get_command(self, context: click.Context, name: str) -> click.Command | None:
+        """Import a subcommand's module and return its command; None for an unknown name."""
         if name not in SUBCOMMANDS:
             return None
         found = importlib.import_module(SUBCOMMANDS[name]).command
--- a/garnetrelay/cli/operators.py
+++ b/garnetrelay/cli/operators.py
@@ -19,6 +19,7 @@
     name = "address"
 
     def convert(self, value: str | Address, parameter: click.Parameter | None, context: click.Context | None) -> Address:
+        """Parse ``HOST:PORT``; a usage error of one line where it is none."""
         try:
             return value if isinstance(value, Address) else Address.parse(value)
         except ValueError as error:
--- a/garnetrelay/cli/upgrade.py
+++ b/garnetrelay/cli/upgrade.py
@@ -45,6 +45,7 @@
 
 
 def healthy(address: Address) -> bool:
+    """Whether the relay whose staff address this is answers HEALTH with ``+OK`` within a second."""
     try:
         return ask(address, "HEALTH", 1.0).startswith("+OK")
     except OSError:
--- a/garnetrelay/config/deployment.py
+++ b/garnetrelay/config/deployment.py
@@ -38,6 +38,7 @@
 
     @classmethod
     def parse(cls, text: Any) -> Address:
+        """Read ``host:port`` (IPv6 in brackets); ValueError with the reason where it is none."""
         host, colon, port = str(text).rpartition(":")
         if not colon or not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
             raise ValueError(f"'{text}' is not host:port")
--- a/garnetrelay/operators/front.py
+++ b/garnetrelay/operators/front.py
@@ -30,11 +30,13 @@
         self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take a place among the callers; the whole line is due within ``LINE_TIME``."""
         self.transport = cast(asyncio.Transport, transport)
         self.front.took(self)
         self.timer = asyncio.get_running_loop().call_later(LINE_TIME, self.end, b"-ERR no whole line in time\n")
 
     def data_received(self, data: bytes) -> None:
+        """Gather the line, at most ``MOST_LINE`` bytes, and answer once it is whole."""
         if self.answered:
             return
         self.line += data[: MOST_LINE + 1 - len(self.line)]
@@ -45,6 +47,7 @@
             self.end(b"-ERR the line is too long\n")
 
     def eof_received(self) -> bool:
+        """Answer a last line that came without its newline, and keep our side open to write it."""
         if not self.answered:  # a last line may come without its end
             self.end(answer(self.front.service, bytes(self.line)))
         return True
@@ -60,6 +63,7 @@
         self.timer = asyncio.get_running_loop().call_later(ANSWER_TIME, self.transport.abort)
 
     def connection_lost(self, error: Exception | None) -> None:
+        """Give up the place."""
         self._stop_timer()
         self.front.callers.pop(self, None)
 
@@ -93,6 +97,7 @@
             del self.callers[oldest]
 
     def close(self) -> None:
+        """Stop listening and cut off whoever still waits for an answer."""
         if self._server is not None:
             self._server.close()
         for caller in list(self.callers):
--- a/garnetrelay/operators/service.py
+++ b/garnetrelay/operators/service.py
@@ -107,17 +107,20 @@
         return [io.Excluded(name, True) for name in self.exclusions.names]
 
     def close(self) -> None:
+        """Stop listening."""
         self.front.close()
 
     # ---- the calls
 
     def health(self) -> None:
+        """Refused while this process does not serve yet, or stops."""
         if not self.relay.serving:  # a relay that has passed to a new process serves on there
             raise Refused("it does not serve yet")
         if self.relay.draining():
             raise Refused("it is stopping")
 
     def figures(self) -> str:
+        """The relay's figures, and the fleet's where this process has a part in it."""
         relay = self.relay
         text = figures.text(
             relay.counts, relay.calls_written(), relay.in_flight(), relay.hosts_known(), relay.hosts_avoided()
@@ -125,6 +128,7 @@
         return text if relay.fleet is None or relay.fleet.closed else text + relay.fleet.figures()
 
     def fleet(self, words: list[str]) -> str:
+        """Answer ``FLEET``: ``words`` are MEMBERS, EXPLAIN and a name, or LEAVE. Refused where there is no fleet."""
         fleet = self.relay.fleet
         if fleet is None:
             raise Refused("this relay knows no others: [fleet] is not switched on")
@@ -141,6 +145,7 @@
         return fleet.listing()
 
     def exclude(self, host: str, out: bool) -> None:
+        """Keep the change, then put it in force, or pass it on to the relay's new process; Refused with the reason."""
         relay = self.relay
         successor = relay.successor()
         if successor is not None:
--- a/garnetrelay/platform/notices.py
+++ b/garnetrelay/platform/notices.py
@@ -36,23 +36,28 @@
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the loop: requests may be written."""
         self.transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
+        """Feed the parser; the notices hear of an answer once it is whole or spoilt (status 0)."""
         self.reader.feed(data)
         if self.reader.complete or self.reader.broken:
             self.notices.on_answer(self, self.reader.status if self.reader.complete else 0, self.reader.keep)
 
     def connection_lost(self, error: Exception | None) -> None:
+        """Called by the loop, also after our own abort: the notices hear of it."""
         self.notices.on_lost(self)
         self.reader.close()
 
     def post(self, request: bytes) -> None:
+        """Write one request; the parser begins a new answer."""
         self.reader.begin()
         if self.transport is not None:
             self.transport.write(request)
 
     def drop(self) -> None:
+        """Abort the connection; what it still brings is not parsed."""
         self.reader.close()
         if self.transport is not None:
             self.transport.abort()
@@ -75,6 +80,7 @@
         self.closed = False
 
     def close(self) -> None:
+        """Send nothing any more; what is not acknowledged stays with the caller's journal."""
         self.closed = True
         self._reset()
 
@@ -162,6 +168,7 @@
             self._failed(f"answered {status}" if status else "the answer can't be read")
 
     def on_lost(self, link: Link) -> None:
+        """A link is gone: with a request on it, the notices in that request are sent again."""
         if link is self.link:
             self.link = None
             if self.out:
--- a/garnetrelay/rehearsal/checker/__init__.py
+++ b/garnetrelay/rehearsal/checker/__init__.py
@@ -44,6 +44,7 @@
 
     @property
     def verdicts(self) -> list[Verdict]:
+        """Every broken rule so far, in the order in which it was found."""
         return self.docket.verdicts
 
     def take(self, event: ev.Event) -> None:
--- a/garnetrelay/rehearsal/checker/docket.py
+++ b/garnetrelay/rehearsal/checker/docket.py
@@ -70,4 +70,5 @@
 
 
 def seconds(nanoseconds: int) -> str:
+    """A time in nanoseconds as the verdicts write it, in seconds."""
     return f"{nanoseconds / 1e9:.3f} s"
--- a/garnetrelay/rehearsal/checker/drains.py
+++ b/garnetrelay/rehearsal/checker/drains.py
@@ -18,6 +18,7 @@
 
     @property
     def handlers(self) -> Handlers:
+        """The events that this rule hears of, each with what takes it in."""
         return {
             ev.Told: self._told,
             ev.OutByHand: self._by_hand,
--- a/garnetrelay/rehearsal/checker/effects.py
+++ b/garnetrelay/rehearsal/checker/effects.py
@@ -18,6 +18,7 @@
 
     @property
     def handlers(self) -> Handlers:
+        """The events that this rule hears of, each with what takes it in."""
         return {
             ev.CallCame: self._came,
             ev.NoticeCame: self._refused,
--- a/garnetrelay/rehearsal/checker/ends.py
+++ b/garnetrelay/rehearsal/checker/ends.py
@@ -23,6 +23,7 @@
 
     @property
     def handlers(self) -> Handlers:
+        """The events that this rule hears of, each with what takes it in."""
         return {
             ev.Answered: self._answered,
             ev.NoticeCame: self._notice,
--- a/garnetrelay/rehearsal/checker/facts.py
+++ b/garnetrelay/rehearsal/checker/facts.py
@@ -93,18 +93,22 @@
 
     @property
     def taken(self) -> bool:
+        """Whether the relay has promised to deliver it (``+OK``)."""
         return self.answer is not None and self.answer.answer == "ok"
 
     @property
     def refused(self) -> bool:
+        """Whether the relay has answered that it will not."""
         return self.answer is not None and self.answer.answer != "ok"
 
     @property
     def delivered(self) -> Call | None:
+        """The call that delivered it; None while there is none."""
         return next((call for call in self.calls if call.delivered), None)
 
     @property
     def over(self) -> bool:
+        """Whether its client knows how it ended, or its partner has it."""
         return bool(self.notices) or self.refused or self.delivered is not None
 
 
@@ -123,17 +127,20 @@
     _age: deque[tuple[int, str]] = field(default_factory=deque)
 
     def relay(self, name: str) -> RelayFacts:
+        """What is known of a relay, from its first mention on."""
         found = self.relays.get(name)
         if found is None:
             found = self.relays[name] = RelayFacts(name)
         return found
 
     def scope(self, route: str) -> str:
+        """The name under which a route's calls are paced; the route's own where none was told."""
         found = self.routes.get(route)
         return route if found is None else ev.scope_of(found)
 
     @property
     def handlers(self) -> Handlers:
+        """The events that the facts are made of, each with what takes it in."""
         return {
             ev.World: self._world,
             ev.Starved: self._starved,
--- a/garnetrelay/rehearsal/checker/order.py
+++ b/garnetrelay/rehearsal/checker/order.py
@@ -28,6 +28,7 @@
 
     @property
     def handlers(self) -> Handlers:
+        """The events that this rule hears of, each with what takes it in; none where no class keeps an order."""
         if not any(klass.in_turn for klass in self.facts.figures.classes.values()):
             return {}
         return {ev.HandedIn: self._handed_in, ev.CallCame: self._came}
--- a/garnetrelay/rehearsal/checker/returns.py
+++ b/garnetrelay/rehearsal/checker/returns.py
@@ -55,6 +55,7 @@
 
     @property
     def handlers(self) -> Handlers:
+        """The events that this rule hears of, each with what takes it in."""
         return {
             ev.OutageBegan: self._began,
             ev.OutageOver: self._over,
--- a/garnetrelay/rehearsal/checker/waits.py
+++ b/garnetrelay/rehearsal/checker/waits.py
@@ -32,6 +32,7 @@
 
     @property
     def handlers(self) -> Handlers:
+        """The events that this rule hears of, each with what takes it in."""
         return {
             ev.CallAnswered: self._answered,
             ev.CallEnded: self._ended,
--- a/garnetrelay/rehearsal/clients.py
+++ b/garnetrelay/rehearsal/clients.py
@@ -46,15 +46,18 @@
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the loop: commands may be written."""
         self.transport = cast(asyncio.Transport, transport)
 
     def send(self, message: Try, command: bytes) -> None:
+        """Write the command that hands a message in; its answer is due within the crowd's patience."""
         assert self.transport is not None
         self.open = message
         self.timer = asyncio.get_running_loop().call_later(self.crowd.patience, self._late)
         self.transport.write(command)
 
     def data_received(self, data: bytes) -> None:
+        """Give the answer that has come to the crowd, as that of the message that waits for it."""
         self.reader.feed(data)
         while (answer := self.reader.gets()) is not False:
             message, self.open = self.open, None
@@ -67,6 +70,7 @@
             self.crowd.answered(self, message, answer)
 
     def connection_lost(self, error: Exception | None) -> None:
+        """Tell the crowd that the connection is gone, and what became of a message that waited on it."""
         self.crowd.gone(self)
         message, self.open = self.open, None
         if self.timer is not None:
@@ -81,6 +85,7 @@
             self.crowd.unanswered(self.relay, message, "late")
 
     def drop(self) -> None:
+        """Cut the connection off."""
         if self.transport is not None:
             self.transport.abort()
 
@@ -102,12 +107,15 @@
         return live[self._next % len(live)]
 
     def died(self, relay: str) -> None:
+        """A relay was killed: it gets no hand-ins any more once that is noticed."""
         asyncio.get_running_loop().call_later(self.random.uniform(*self.clients.notice_s), self.out.add, relay)
 
     def ends(self, relay: str) -> None:
+        """A relay was told to end: it gets no hand-ins any more after ``FRONT_LAG`` seconds."""
         asyncio.get_running_loop().call_later(FRONT_LAG, self.out.add, relay)
 
     def ready(self, relay: str) -> None:
+        """A relay serves: it gets hand-ins from now on."""
         self.out.discard(relay)
 
 
@@ -241,6 +249,7 @@
     # ---- answers
 
     def answered(self, link: Link, message: Try, answer: Any) -> None:
+        """A relay has answered ``+OK`` (bytes) or with an error; a busy one is asked again later."""
         at, since = self.observer.read()
         if not isinstance(answer, hiredis.ReplyError):
             self.observer.see(ev.Answered(at, since, link.relay, message.ref, "ok"))
@@ -259,6 +268,7 @@
             self.refused(message, wait_ms)
 
     def refused(self, message: Try, wait_ms: int) -> None:
+        """Hand a message in once more after the wait that was named (milliseconds), while it has retries left."""
         if message.retries > 0:
             message.retries -= 1
             low, high = self.scenario.clients.again_ms
@@ -276,6 +286,7 @@
             self._send(message, link.relay)
 
     def unanswered(self, relay: str, message: Try, why: str) -> None:
+        """No answer came (``why``, as the event writes it): what may be repeated is handed in again as another effect."""
         at, since = self.observer.read()
         self.observer.see(ev.Unanswered(at, since, relay, message.ref, why))
         self._lost(message)
@@ -301,14 +312,17 @@
     # ---- connections
 
     def rest(self, link: Link) -> None:
+        """Keep a connection for the next hand-in."""
         self.idle[link.relay].append(link)
 
     def gone(self, link: Link) -> None:
+        """Forget a connection that has ended."""
         self.links.discard(link)
         if link in self.idle[link.relay]:
             self.idle[link.relay].remove(link)
 
     def stop(self) -> None:
+        """Begin nothing any more and cut all connections off."""
         for task in self._tasks:
             task.cancel()
         for link in list(self.links):
--- a/garnetrelay/rehearsal/clock.py
+++ b/garnetrelay/rehearsal/clock.py
@@ -27,6 +27,7 @@
         self._looked = 0
 
     def now(self) -> int:
+        """Nanoseconds of the monotonic clock since the run began."""
         return time.monotonic_ns() - self.began
 
     def loop_time(self, at: int) -> float:
@@ -48,6 +49,7 @@
         self._clock = clock
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        """As the base class; the clock hears that the sockets were looked at."""
         found = super().select(timeout)
         self._clock.looked()
         return found
--- a/garnetrelay/rehearsal/conductor.py
+++ b/garnetrelay/rehearsal/conductor.py
@@ -47,6 +47,7 @@
 
     @property
     def kept(self) -> bool:
+        """Whether every rule was kept."""
         return not self.verdicts
 
 
--- a/garnetrelay/rehearsal/http.py
+++ b/garnetrelay/rehearsal/http.py
@@ -91,6 +91,7 @@
         self._size = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the loop for a new connection."""
         self.transport = cast(asyncio.Transport, transport)
         # What comes on it first may have lain there since before it was accepted, some rounds of the loop ago.
         self.born, self.born_round = self.server.clock.looks[0], self.server.clock.rounds
@@ -100,6 +101,7 @@
         self.server.opened(self)
 
     def connection_lost(self, error: Exception | None) -> None:
+        """Called by the loop at its end, whoever ended it."""
         self.lost = True
         self.parser = None
         self.server.connections.discard(self)
@@ -110,6 +112,7 @@
         return since if self.server.clock.rounds - self.born_round > ROUNDS else min(since, self.born)
 
     def data_received(self, data: bytes) -> None:
+        """Feed the parser; what is no HTTP ends the connection."""
         if self.parser is None or self.broken_off:
             return
         if self._first is None:
@@ -126,18 +129,22 @@
     # ---- the parser calls these
 
     def on_url(self, url: bytes) -> None:
+        """Called by the parser: a piece of the request's target."""
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser: one header; a later one of the same name wins."""
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_body(self, body: bytes) -> None:
+        """Called by the parser: a piece of the body; ValueError, which ends it, behind ``MOST_BODY`` bytes."""
         self._size += len(body)
         if self._size > MOST_BODY:
             raise ValueError("body too long")
         self._body.append(body)
 
     def on_message_complete(self) -> None:
+        """Called by the parser: the request is whole and goes to the server."""
         assert self.parser is not None
         first = self.server.clock.since if self._first is None else self._first
         call = Call(
@@ -165,23 +172,27 @@
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str = "127.0.0.1", port: int = 0, backlog: int = 512) -> None:
+        """Listen; ``address`` then says where, as host:port. OSError where that can't be."""
         self._server = await asyncio.get_running_loop().create_server(
             lambda: Connection(self), host, port, backlog=backlog
         )
         self.address = "%s:%d" % self._server.sockets[0].getsockname()[:2]
 
     def stop_listening(self) -> None:
+        """Take no new connections; those that are open stay."""
         if self._server is not None:
             self._server.close()
             self._server = None
 
     async def stop(self) -> None:
+        """Stop listening and cut all connections off."""
         self.stop_listening()
         for connection in list(self.connections):
             if connection.transport is not None:
                 connection.transport.abort()
 
     def request(self, call: Call) -> None:
+        """A whole request has come."""
         self.handler(call)
 
     def opened(self, connection: Connection) -> None:
--- a/garnetrelay/rehearsal/links/network.py
+++ b/garnetrelay/rehearsal/links/network.py
@@ -85,6 +85,7 @@
             )
 
     def stop(self) -> None:
+        """Close the sockets; what is on its way is lost."""
         loop = asyncio.get_running_loop()
         for found in self._sockets.values():
             loop.remove_reader(found)
--- a/garnetrelay/rehearsal/links/stage.py
+++ b/garnetrelay/rehearsal/links/stage.py
@@ -94,6 +94,7 @@
         self.network.changed()
 
     def mend(self, move: script.Move) -> None:
+        """End what a move did to links."""
         self.links.drop(f"move {move.number}")
 
     # ---- looks
--- a/garnetrelay/rehearsal/observer.py
+++ b/garnetrelay/rehearsal/observer.py
@@ -66,6 +66,7 @@
             self._buffer.clear()
 
     def close(self) -> None:
+        """Write what is left and close the record of the run."""
         self.flush()
         if self._file is not None:
             self._file.close()
--- a/garnetrelay/rehearsal/partners/endpoints.py
+++ b/garnetrelay/rehearsal/partners/endpoints.py
@@ -38,9 +38,11 @@
 
     @property
     def trouble(self) -> Trouble | None:
+        """What is wrong with this endpoint now; None where nothing is."""
         return self.partner.routes[self.route].scope.trouble
 
     def opened(self, connection: Connection) -> None:
+        """A relay has connected: refused where the endpoint is down, and turned away where it holds too many."""
         trouble = self.trouble
         if trouble is not None and trouble.how == "down":
             at, since = self.partners.observer.read()
@@ -53,6 +55,7 @@
             connection.turned_away = True
 
     def first_bytes(self, connection: Connection) -> bool:
+        """Whether a call may be read that begins now; a silent endpoint and some resets break it off here."""
         trouble = self.trouble
         if trouble is None:
             return True
@@ -67,6 +70,7 @@
         return True
 
     def closed(self, connection: Connection) -> None:
+        """A relay's connection has ended: the record says so of a call that it cut short."""
         call, observer = connection.last, self.partners.observer
         if call is None or not call.number:
             return
@@ -189,6 +193,7 @@
         self._new = itertools.count(1)
 
     async def start(self) -> None:
+        """Listen for every route of every partner, and put the world on record."""
         for partner in self.plan.partners:
             for route in partner.routes:
                 await self._open(partner.number, route.name)
@@ -215,6 +220,7 @@
         )
 
     async def stop(self) -> None:
+        """Cut all connections off; nothing more happens to the partners."""
         for timer in self._timers:
             timer.cancel()
         for doors in self.doors.values():
@@ -321,4 +327,5 @@
             door.stop_listening()
 
     def address(self, route: str, relay: str) -> str:
+        """Where one relay reaches a route, as host:port."""
         return self.doors[route][relay].address
--- a/garnetrelay/rehearsal/partners/model.py
+++ b/garnetrelay/rehearsal/partners/model.py
@@ -61,6 +61,7 @@
 
     @property
     def burst(self) -> float:
+        """How many calls may come at once after a quiet time."""
         return max(2.0, self.rate / 2)
 
     def take(self, now: int) -> int | None:
--- a/garnetrelay/rehearsal/plan.py
+++ b/garnetrelay/rehearsal/plan.py
@@ -56,10 +56,12 @@
 
     @property
     def route_count(self) -> int:
+        """How many endpoints the partner has."""
         return len(self.routes)
 
     @property
     def scopes(self) -> tuple[str, ...]:
+        """The names under which its calls are paced: each route by itself, or the partner as one."""
         if self.apart:
             return tuple(route.name for route in self.routes)
         return (f"partner-{self.number}",)
--- a/garnetrelay/rehearsal/register.py
+++ b/garnetrelay/rehearsal/register.py
@@ -90,11 +90,13 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
+        """Listen for every relay, and begin to note those that neither watch nor ask."""
         for side in self.sides.values():
             await self._open(side)
         self._hold(self._look())
 
     async def stop(self) -> None:
+        """Stop listening and cut all connections off."""
         for task in self._tasks:
             task.cancel()
         for side in self.sides.values():
@@ -102,6 +104,7 @@
                 await door.stop()
 
     def address(self, relay: str) -> str:
+        """Where one relay finds the register, as host:port."""
         return self.sides[relay].doors[-1].address
 
     def known(self, relay: str) -> dict[str, Any]:
@@ -131,6 +134,7 @@
             asyncio.get_running_loop().call_later(late, self._tell, side, line)
 
     def add(self, entry: Entry) -> None:
+        """List a new endpoint as ready; the relays hear of it late, as of any change."""
         self.entries[entry.name] = entry
         self.change((entry.name, "Ready"))
 
@@ -142,6 +146,7 @@
                 self._whole(side)
 
     def end_watches(self) -> None:
+        """Close every watch, as a register that restarts does."""
         for side in self.sides.values():
             if side.watch is not None:
                 side.watch.close()
@@ -152,6 +157,7 @@
         self.end_watches()
 
     def come_up(self) -> None:
+        """Answer again; the time is kept, since relays are given some to come back."""
         self.down, self.up_at = False, self.observer.clock.now()
 
     def take_notices(self, how: str) -> None:
--- a/garnetrelay/rehearsal/relays.py
+++ b/garnetrelay/rehearsal/relays.py
@@ -251,6 +251,7 @@
 
     @property
     def stopped(self) -> bool:
+        """Whether the process is held by SIGSTOP."""
         return self._stopped_at is not None
 
     def _stopped_for(self) -> int:
--- a/garnetrelay/rehearsal/report/machine.py
+++ b/garnetrelay/rehearsal/report/machine.py
@@ -40,4 +40,5 @@
 
 
 def write(outcome: Outcome, path: Path) -> None:
+    """Write an outcome to a file, as indented JSON."""
     path.write_bytes(msgspec.json.format(msgspec.json.encode(report(outcome)), indent=1) + b"\n")
--- a/garnetrelay/rehearsal/rude.py
+++ b/garnetrelay/rehearsal/rude.py
@@ -41,6 +41,7 @@
         self.left_waiting = 0  # with neither error nor close
 
     async def run(self, seconds: float) -> None:
+        """Open and misuse connections for so many seconds, ``count`` at a time."""
         ends = asyncio.get_running_loop().time() + seconds
         async with asyncio.TaskGroup() as group:
             for _ in range(self.count):
--- a/garnetrelay/rehearsal/scripted.py
+++ b/garnetrelay/rehearsal/scripted.py
@@ -25,9 +25,11 @@
         self.closings: asyncio.Queue[Connection] = asyncio.Queue()
 
     def closed(self, connection: Connection) -> None:
+        """Keep the end of a connection for ``next_closing``."""
         self.closings.put_nowait(connection)
 
     def take(self, call: Call) -> None:
+        """Keep a call for ``next_call``."""
         self.calls.put_nowait(call)
 
     async def next_call(self) -> Call:
@@ -50,6 +52,7 @@
         self.refusals = 0  # notices that are refused before one is taken
 
     def take(self, call: Call) -> None:
+        """Acknowledge notices, or refuse as many as ``refusals`` says; anything else waits for ``next_call``."""
         if call.method != "POST" or call.target != "/v1/notices":
             super().take(call)
         elif self.refusals:
@@ -94,9 +97,11 @@
 
     @classmethod
     async def connect(cls, port: int) -> Self:
+        """Connect to a relay on this machine."""
         return cls(*await asyncio.open_connection("127.0.0.1", port))
 
     def write(self, *words: str | bytes) -> None:
+        """Write a command without waiting for its answer."""
         self.writer.write(hiredis.pack_command(tuple(words)))  # type: ignore[arg-type]
 
     async def read(self) -> Any:
@@ -110,5 +115,6 @@
         return str(answer) if isinstance(answer, hiredis.ReplyError) else answer
 
     async def ask(self, *words: str | bytes) -> Any:
+        """Write a command and return its answer, as ``read`` does."""
         self.write(*words)
         return await self.read()
--- a/garnetrelay/rehearsal/staff.py
+++ b/garnetrelay/rehearsal/staff.py
@@ -39,4 +39,5 @@
 
 
 async def says_yes(port: int, line: str) -> bool:
+    """Whether a relay that staff call answers a line with ``+OK``."""
     return (await ask(port, line)).startswith("+OK")
--- a/garnetrelay/rehearsal/tally.py
+++ b/garnetrelay/rehearsal/tally.py
@@ -65,6 +65,7 @@
         self._classes = {c["name"]: n for n, c in enumerate(plan.settings["classes"])}
 
     def second(self, at: int) -> Second:
+        """The figures of the second that a time (nanoseconds) falls into; the seconds before it are filled up."""
         place = max(0, at // SECOND)
         while len(self.seconds) <= place:
             self.seconds.append(Second(held=len(self.held)))
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -80,6 +80,7 @@
     written: bool = False  # it is on record
 
     def exchange(self) -> net.Exchange:
+        """The exchange that carries this attempt out."""
         return net.Exchange(self.host, self.stop_at, self.prepare, self.done, self.still_clear, self.message.ref)
 
     def prepare(self, address: Address) -> bytes | None:
@@ -94,10 +95,12 @@
         return net.call(address, message.ref, message.key, message.body, self.stop_at) if self.written else None
 
     def still_clear(self) -> bool:
+        """The last look: whether the call may still begin, by its time and by the Pacer."""
         now = time.monotonic_ns()
         return now < self.stop_at and self.relay.pacer.clear_to_send(now, self.message.ref, self.host)
 
     def done(self, outcome: Outcome) -> None:
+        """What became of it: on record, then with the Pacer."""
         relay, message = self.relay, self.message
         message.exchange = None
         log.debug("attempt %s %d at %s: %s", message.ref, self.number, self.host, outcome)
@@ -328,6 +331,7 @@
             self.fleet.close()
 
     def close(self) -> None:
+        """End at once: what is held waits in the journal."""
         if self.untried.left:
             log.info("%s", self.untried)
         if self.fleet is not None and self.stopping:
@@ -343,24 +347,31 @@
     # ---- what staff ask (``operators.service.OperatedRelay``)
 
     def draining(self) -> bool:
+        """Whether the listener closes what clients have open, to end."""
         return self.server.draining
 
     def successor(self) -> Giver | None:
+        """The handover's sender once the relay has passed to another process; None before."""
         return self.giver if self.giver is not None and self.giver.passed else None
 
     def in_flight(self) -> int:
+        """How many messages are taken on and not ended."""
         return sum(not message.over for message in self.held.values()) + len(self.recovering)
 
     def calls_written(self) -> int:
+        """How many calls were written whole to hosts since the start."""
         return self.hosts.calls_written
 
     def hosts_known(self) -> int:
+        """How many hosts the list names."""
         return len(self.listed)
 
     def hosts_avoided(self) -> int:
+        """How many listed hosts get no calls now."""
         return self.pacer.avoided()
 
     def knows_host(self, host: str) -> bool:
+        """Whether the list names a host, or has named it."""
         return host in self.listed or host in self.gone
 
     # ---- the start
@@ -524,6 +535,7 @@
         )
 
     def on_news(self, news: News | None) -> None:
+        """The list of hosts has changed; None: the watch has failed."""
         if news is None:
             self.post(io.Roster(io.ListScope.FAILED, ()))
             return
--- a/garnetrelay/store/format.py
+++ b/garnetrelay/store/format.py
@@ -121,6 +121,7 @@
 
 
 def header(number: int) -> bytes:
+    """A segment's first bytes, with its own checksum."""
     head = HEADER.pack(MAGIC, VERSION, number, 0)[:-4]
     return head + zlib.crc32(head).to_bytes(4, "big")
 
@@ -132,6 +133,7 @@
 
 
 def taken(entry: Entry) -> bytes:
+    """A message is taken on, with all that is needed to deliver it."""
     return pack(Kind.TAKEN, _entry(entry))
 
 
@@ -153,25 +155,30 @@
 
 
 def trying(ref: str, zone: str, at: int) -> bytes:
+    """An attempt begins at a time (wall clock, milliseconds) at a host of this zone."""
     name, where = ref.encode(), zone.encode()
     return pack(Kind.TRY, _TRY.pack(len(name), at, len(where)) + name + where)
 
 
 def outcome(ref: str, ran: bool) -> bytes:
+    """The last attempt has an outcome; ``ran``: its effect may have happened."""
     name = ref.encode()
     return pack(Kind.OUTCOME, _OUTCOME.pack(len(name), ran) + name)
 
 
 def ended(ref: str, result: str, wait_ms: int) -> bytes:
+    """The message is over and a notice has to tell it: one of ``RESULTS``, with a wait (milliseconds)."""
     name = ref.encode()
     return pack(Kind.ENDED, _ENDED.pack(len(name), RESULTS.index(result), min(wait_ms, 0xFFFFFFFF)) + name)
 
 
 def gone(ref: str) -> bytes:
+    """Nothing of the message is owed any more."""
     return pack(Kind.GONE, ref.encode())
 
 
 def seal(count: int) -> bytes:
+    """The end of a segment, with the count of records before it."""
     return pack(Kind.SEAL, _COUNT.pack(count))
 
 
@@ -294,6 +301,7 @@
 
 
 def read_outcome(record: Record) -> tuple[str, bool]:
+    """The ref, and whether the attempt may have run; FormatError where it can't be read."""
     try:
         size, ran = _OUTCOME.unpack_from(record.payload)
         return record.payload[_OUTCOME.size : _OUTCOME.size + size].decode(), bool(ran)
@@ -302,6 +310,7 @@
 
 
 def read_ended(record: Record) -> tuple[str, str, int]:
+    """The ref, the result and the wait in milliseconds; FormatError where it can't be read."""
     try:
         size, result, wait = _ENDED.unpack_from(record.payload)
         return record.payload[_ENDED.size : _ENDED.size + size].decode(), RESULTS[result], wait
@@ -310,6 +319,7 @@
 
 
 def read_gone(record: Record) -> str:
+    """The ref; FormatError where it can't be read."""
     try:
         return record.payload.decode()
     except UnicodeDecodeError as error:
@@ -317,6 +327,7 @@
 
 
 def read_seal(record: Record) -> int:
+    """The count of records before it; FormatError where it can't be read."""
     try:
         return int(_COUNT.unpack(record.payload)[0])
     except struct.error as error:
--- a/garnetrelay/store/storage.py
+++ b/garnetrelay/store/storage.py
@@ -115,28 +115,35 @@
         return claim
 
     def release(self) -> None:
+        """Give the claim on the folder up; nothing happens where there is none."""
         if self._lock is not None:
             os.close(self._lock)
             self._lock = None
 
     def names(self) -> list[str]:
+        """All files of the folder, in no order."""
         return os.listdir(self.path)
 
     def read(self, name: str) -> bytes:
+        """A file's whole content."""
         return (self.path / name).read_bytes()
 
     def create(self, name: str) -> int:
+        """A new file, open for appending, that its owner alone may read; FileExistsError where there is one."""
         return os.open(self.path / name, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND | os.O_CLOEXEC, 0o600)
 
     def append(self, handle: int, data: bytes) -> None:
+        """Write all of it at the end, in as many writes as it takes; behind an OSError a part may stand there."""
         view = memoryview(data)
         while view:
             view = view[os.write(handle, view) :]
 
     def truncate(self, handle: int, size: int) -> None:
+        """Cut an open file to a size in bytes."""
         os.ftruncate(handle, size)
 
     def cut(self, name: str, size: int, tail: bytes) -> None:
+        """Cut a closed file to a size in bytes, write a tail at its new end, and sync it."""
         handle = os.open(self.path / name, os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC)
         try:
             os.ftruncate(handle, size)
@@ -146,9 +153,11 @@
             os.close(handle)
 
     def sync(self, handle: int) -> None:
+        """Put an open file's content on the disk."""
         os.fsync(handle)
 
     def sync_names(self) -> None:
+        """Put the folder's own entries on the disk: files made, renamed and removed."""
         handle = os.open(self.path, os.O_RDONLY | os.O_CLOEXEC)
         try:
             os.fsync(handle)
@@ -156,9 +165,11 @@
             os.close(handle)
 
     def close(self, handle: int) -> None:
+        """Close an open file without a sync."""
         os.close(handle)
 
     def remove(self, name: str) -> None:
+        """Remove a file; its name is gone from the disk after ``sync_names``."""
         (self.path / name).unlink()
 
     def replace(self, name: str, data: bytes, sync: bool) -> None:
--- a/garnetrelay/store/store.py
+++ b/garnetrelay/store/store.py
@@ -39,6 +39,7 @@
 
 
 def name_of(number: int) -> str:
+    """The file of the segment with this number."""
     return f"{number:016x}{SUFFIX}"
 
 
@@ -189,6 +190,7 @@
         return True
 
     def outcome(self, ref: str, may_have_run: bool) -> None:
+        """Note that the last attempt has ended, and whether its effect may have happened."""
         entry = self.entries.get(ref)
         if entry is not None:
             size = self._note(fmt.outcome(ref, may_have_run), ref)
--- a/garnetrelay/untried.py
+++ b/garnetrelay/untried.py
@@ -25,6 +25,7 @@
         return len(self._left)
 
     def find(self, ref: str) -> None:
+        """A message was picked up that has no attempt on record."""
         self.found += 1
         self._left.add(ref)
 
--- a/garnetrelay/upgrade/channel.py
+++ b/garnetrelay/upgrade/channel.py
@@ -83,6 +83,7 @@
         return bytes(data)
 
     def close(self) -> None:
+        """Close the socket; descriptors that were received stay open."""
         self.socket.close()
 
 
@@ -129,6 +130,7 @@
         return channel
 
     def close(self) -> None:
+        """Stop listening; the folder's socket stays for whoever listens next."""
         if self.listener is not None:
             self.listener.close()
         os.close(self._folder)
--- a/garnetrelay/upgrade/give.py
+++ b/garnetrelay/upgrade/give.py
@@ -75,6 +75,7 @@
         return self.state.owner is p.Owner.NEW
 
     def close(self) -> None:
+        """Stop listening for a new process; a handover under way is broken off."""
         self.loop.remove_reader(self.listener)
         self.door.close()
         if self.task is not None:
--- a/garnetrelay/upgrade/protocol.py
+++ b/garnetrelay/upgrade/protocol.py
@@ -201,10 +201,12 @@
         return Step.WAIT
 
     def on_taken(self) -> Step:
+        """The new process serves: only staff's calls are left to this one."""
         self.taken = True
         return Step.ANSWER_STAFF
 
     def on_bye(self) -> Step:
+        """The new process stops as it was told to: this one may end."""
         self.over = True
         return Step.END
 
