--- a/garnetrelay/operators/calls.py
+++ b/garnetrelay/operators/calls.py
@@ -12,12 +12,12 @@
 NAME = re.compile("[!-~]{1,200}")
 
 
-class Refused(Exception):
+class CallRefusedError(Exception):
     """A call that is answered with ``-ERR`` and this text."""
 
 
 class Service(Protocol):
-    """What a relay does for staff. Each may raise Refused."""
+    """What a relay does for staff. Each may raise CallRefusedError."""
 
     def health(self) -> None:
         """Returns if this process can serve."""
@@ -40,7 +40,7 @@
     """What a call is answered with."""
     try:
         return _answer(service, line)
-    except Refused as refused:
+    except CallRefusedError as refused:
         return b"-ERR " + " ".join(str(refused).split()).encode("ascii", "replace")[:200] + b"\n"
 
 
@@ -56,13 +56,13 @@
             service.exclude(name, word == "OFFLINE")
             return b"+OK\n"
         case ["OFFLINE" | "ONLINE" as word, *_]:
-            raise Refused(f"{word} takes the name of one host")
+            raise CallRefusedError(f"{word} takes the name of one host")
         case ["FLEET", *rest] if rest in (["MEMBERS"], ["LEAVE"]) or (
             len(rest) == 2 and rest[0] == "EXPLAIN" and NAME.fullmatch(rest[1])
         ):
             return b"+OK\n" + service.fleet(rest).encode("ascii", "replace") + b".\n"
         case ["FLEET", *_]:
-            raise Refused("FLEET takes MEMBERS, EXPLAIN NAME or LEAVE")
+            raise CallRefusedError("FLEET takes MEMBERS, EXPLAIN NAME or LEAVE")
         case []:
-            raise Refused("an empty line")
-    raise Refused(f"unknown call '{words[0][:40]}'; there are HEALTH, DUMP, OFFLINE ID, ONLINE ID, FLEET")
+            raise CallRefusedError("an empty line")
+    raise CallRefusedError(f"unknown call '{words[0][:40]}'; there are HEALTH, DUMP, OFFLINE ID, ONLINE ID, FLEET")
--- a/garnetrelay/operators/service.py
+++ b/garnetrelay/operators/service.py
@@ -7,7 +7,7 @@
 from garnetrelay.config.deployment import Address, Config
 from garnetrelay.counts import Counts
 from garnetrelay.operators import figures
-from garnetrelay.operators.calls import Refused
+from garnetrelay.operators.calls import CallRefusedError
 from garnetrelay.operators.exclusions import Exclusions
 from garnetrelay.operators.front import Front
 from starlingwick import interface as io
@@ -113,11 +113,11 @@
     # ---- the calls
 
     def health(self) -> None:
-        """Refused while this process does not serve yet, or stops."""
+        """CallRefusedError while this process does not serve yet, or stops."""
         if not self.relay.serving:  # a relay that has passed to a new process serves on there
-            raise Refused("it does not serve yet")
+            raise CallRefusedError("it does not serve yet")
         if self.relay.draining():
-            raise Refused("it is stopping")
+            raise CallRefusedError("it is stopping")
 
     def figures(self) -> str:
         """The relay's figures, and the fleet's where this process has a part in it."""
@@ -128,32 +128,32 @@
         return text if relay.fleet is None or relay.fleet.closed else text + relay.fleet.figures()
 
     def fleet(self, words: list[str]) -> str:
-        """Answer ``FLEET``: ``words`` are MEMBERS, EXPLAIN and a name, or LEAVE. Refused where there is no fleet."""
+        """Answer ``FLEET``: ``words``: MEMBERS, EXPLAIN and a name, or LEAVE. CallRefusedError without a fleet."""
         fleet = self.relay.fleet
         if fleet is None:
-            raise Refused("this relay knows no others: [fleet] is not switched on")
+            raise CallRefusedError("this relay knows no others: [fleet] is not switched on")
         if fleet.closed:
-            raise Refused("this process has no part in the fleet any more")
+            raise CallRefusedError("this process has no part in the fleet any more")
         match words:
             case ["EXPLAIN", name]:
                 lines = fleet.explain(name)
                 if lines is None:
-                    raise Refused(f"no relay {name} was ever heard of")
+                    raise CallRefusedError(f"no relay {name} was ever heard of")
                 return "\n".join(lines) + "\n"
             case ["LEAVE"]:
                 fleet.leave()
         return fleet.listing()
 
     def exclude(self, host: str, out: bool) -> None:
-        """Keep the change, then put it in force, or pass it on to the relay's new process; Refused with the reason."""
+        """Keep the change, then put it in force, or pass it on to the new process; CallRefusedError with the reason."""
         relay = self.relay
         successor = relay.successor()
         if successor is not None:
             error = successor.exclude(host, out)
             if error:
-                raise Refused(error)
+                raise CallRefusedError(error)
             return
         if not relay.knows_host(host) and host not in self.exclusions.names:
-            raise Refused(f"no host {host} was ever listed")
+            raise CallRefusedError(f"no host {host} was ever listed")
         if self.exclusions.put(host, out):
             relay.exclude(host, out)
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -420,12 +420,12 @@
 
     def _exclude_as_told(self, host: str, out: bool) -> str:
         """Staff called the process before; why it can't be done, or nothing."""
-        from garnetrelay.operators.calls import Refused
+        from garnetrelay.operators.calls import CallRefusedError
 
         assert self.operators is not None
         try:
             self.operators.exclude(host, out)
-        except Refused as refused:
+        except CallRefusedError as refused:
             return str(refused)
         return ""
 
--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -8,7 +8,7 @@
 import pytest
 
 from garnetrelay.operators import exclusions
-from garnetrelay.operators.calls import Refused
+from garnetrelay.operators.calls import CallRefusedError
 from garnetrelay.operators.exclusions import Exclusions
 from garnetrelay.operators.front import MOST_CALLERS
 from garnetrelay.rehearsal.scripted import PATIENCE
@@ -112,7 +112,7 @@
     again = Exclusions(tmp_path, False)
     again.read()
     assert list(again.names) == ["s-1"] and again.put("s-2", True)
-    with pytest.raises(Refused):
+    with pytest.raises(CallRefusedError):
         for n in range(1000):
             again.put(f"{n:0200}", True)
     assert path.stat().st_size <= exclusions.MOST_BYTES
