--- a/garnetrelay/cli/journal.py
+++ b/garnetrelay/cli/journal.py
@@ -10,7 +10,7 @@
 
 from garnetrelay.store import format as fmt
 from garnetrelay.store import legacy
-from garnetrelay.store.format import Kind, LaterVersion
+from garnetrelay.store.format import Kind, LaterVersionError
 from garnetrelay.store.storage import Folder, blocks
 from garnetrelay.store.store import load, number_in, seen
 
@@ -28,7 +28,7 @@
     """Read all of it. The exit status is 0 if every byte could be read, but for a tail that is being written."""
     try:
         index, said = load(Folder(folder))
-    except (LaterVersion, OSError) as error:
+    except (LaterVersionError, OSError) as error:
         raise click.ClickException(str(error)) from None
     for line in said:
         click.echo(line)
@@ -66,7 +66,7 @@
                     click.echo(f"{name} {line}")
             return
         index, _ = load(Folder(folder))
-    except (LaterVersion, OSError) as error:
+    except (LaterVersionError, OSError) as error:
         raise click.ClickException(str(error)) from None
     now = time.time() * 1000
     for entry in index.entries.values():
@@ -120,7 +120,7 @@
     """Segments, what is live in each, and what the folder takes."""
     try:
         index, _ = load(Folder(folder))
-    except (LaterVersion, OSError) as error:
+    except (LaterVersionError, OSError) as error:
         raise click.ClickException(str(error)) from None
     click.echo(f"{'segment':>16}{'bytes':>10}{'live':>10}{'share':>7}{'records':>9}  state")
     for number, segment in sorted(index.segments.items()):
--- a/garnetrelay/store/ahead.py
+++ b/garnetrelay/store/ahead.py
@@ -39,7 +39,7 @@
                 return None
             if not _take(found, number, data, number == max(names)):
                 return None
-    except (OSError, fmt.LaterVersion, fmt.FormatError):
+    except (OSError, fmt.LaterVersionError, fmt.FormatError):
         return None
     return found
 
--- a/garnetrelay/store/format.py
+++ b/garnetrelay/store/format.py
@@ -57,7 +57,7 @@
     """Bytes that are no record of this version."""
 
 
-class LaterVersion(ValueError):
+class LaterVersionError(ValueError):
     """A segment of a version that this program does not know."""
 
 
@@ -202,14 +202,14 @@
 
 
 def number_of(data: bytes) -> int | None:
-    """A segment's own number; None where its header can't be read. LaterVersion for one of a later format."""
+    """A segment's own number; None where its header can't be read. LaterVersionError for one of a later format."""
     if len(data) < HEADER.size:
         return None
     magic, version, number, checksum = HEADER.unpack_from(data)
     if magic != MAGIC or zlib.crc32(data[: HEADER.size - 4]) != checksum:
         return None
     if version > VERSION:
-        raise LaterVersion(f"segment {number} has format {version}, and this program knows {VERSION}")
+        raise LaterVersionError(f"segment {number} has format {version}, and this program knows {VERSION}")
     return int(number)
 
 
--- a/garnetrelay/store/storage.py
+++ b/garnetrelay/store/storage.py
@@ -18,7 +18,7 @@
     return -(-size // BLOCK) * BLOCK
 
 
-class FolderTaken(OSError):
+class FolderTakenError(OSError):
     """Another process works on the folder."""
 
 
@@ -74,7 +74,7 @@
         self._lock: int | None = None
 
     def claim(self) -> None:
-        """Take the folder for this process; FolderTaken if another has it. The claim is an open file's lock: it ends
+        """Take the folder for this process; FolderTakenError if another has it. The claim is an open file's lock: it ends
         with the process, and can be handed to another with the descriptor."""
         lock = os.open(self.path / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         end = time.monotonic() + LOCK_TIME
@@ -84,7 +84,7 @@
             except BlockingIOError:
                 if time.monotonic() > end:
                     os.close(lock)
-                    raise FolderTaken(f"{self.path}: another relay works on this folder") from None
+                    raise FolderTakenError(f"{self.path}: another relay works on this folder") from None
                 time.sleep(0.02)
             else:
                 self._lock = lock
--- a/garnetrelay/store/store.py
+++ b/garnetrelay/store/store.py
@@ -20,7 +20,7 @@
 from garnetrelay.store import cleaning, legacy
 from garnetrelay.store import format as fmt
 from garnetrelay.store.ahead import Ahead, catch_up
-from garnetrelay.store.format import Entry, LaterVersion, Record
+from garnetrelay.store.format import Entry, LaterVersionError, Record
 from garnetrelay.store.index import TRIES, Index, Segment, begin, reserve, settle
 from garnetrelay.store.storage import Folder, Storage, blocks
 
@@ -565,7 +565,7 @@
             raise StoreError(f"the journal can't be read: {error.strerror}") from None
         try:
             whole = {number: fmt.number_of(data) == number for number, data in read.items()}
-        except LaterVersion as error:
+        except LaterVersionError as error:
             raise StoreError(f"the journal was written by a later version: {error}") from None
         catch_up(ahead, numbers)
         newest = numbers[-1] if numbers else 0
--- a/tests/store/explore.py
+++ b/tests/store/explore.py
@@ -28,7 +28,7 @@
 REFS = 400
 
 
-class Wrong(AssertionError):
+class WrongError(AssertionError):
     """A recovered store is not what the model allows."""
 
 
@@ -79,32 +79,32 @@
             entry = store.entries.get(ref)
             if entry is None:
                 if None not in allowed:
-                    raise Wrong(f"{ref} is lost: {states[sure]} was on record")
+                    raise WrongError(f"{ref} is lost: {states[sure]} was on record")
                 continue
             if allowed == [None]:
-                raise Wrong(f"{ref} was over, and is back")
+                raise WrongError(f"{ref} was over, and is back")
             if not machine:
                 if entry.uncertain and not faults or not entry.uncertain and state_of(entry) not in allowed:
-                    raise Wrong(f"{ref} came back as {state_of(entry)}, allowed {allowed}")
+                    raise WrongError(f"{ref} came back as {state_of(entry)}, allowed {allowed}")
             elif not entry.uncertain:
                 self._safe(ref, entry, [state for state in allowed if state is not None])
         for ref in store.entries:
             if ref not in self.states:
-                raise Wrong(f"{ref} was never noted")
+                raise WrongError(f"{ref} was never noted")
 
     def _safe(self, ref: str, entry: Entry, allowed: list[tuple[object, ...]]) -> None:
         """Where single records may be missing, what came back may not promise more than any allowed state."""
         # A message that was over may have been handed in again under its name: that is another one.
         same = [state for state in allowed if state[3] == entry.deadline]
         if not same:
-            raise Wrong(f"{ref} came back as one that was over")
+            raise WrongError(f"{ref} came back as one that was over")
         first = same[0]
         if entry.attempts < int(str(first[5])):
-            raise Wrong(f"{ref}: an attempt is forgotten")
+            raise WrongError(f"{ref}: an attempt is forgotten")
         if first[8] is not None and entry.ran_at != first[8]:
-            raise Wrong(f"{ref}: that it may have run at {first[8]} is forgotten")
+            raise WrongError(f"{ref}: that it may have run at {first[8]} is forgotten")
         if first[6] is not None and len(same) == 1 and entry.trying_at is None and entry.ran_at is None:
-            raise Wrong(f"{ref}: an attempt without an outcome is forgotten")
+            raise WrongError(f"{ref}: an attempt without an outcome is forgotten")
 
 
 class Workload:
@@ -195,7 +195,7 @@
 
 def explore(seed: int, machine: bool, steps: int, stops: int, faults: bool) -> int:
     """Run a workload once to its end, then again and again with a stop at each of its operations; how many there
-    were. Wrong if anything recovered is not allowed."""
+    were. WrongError if anything recovered is not allowed."""
     draw = random.Random(f"stops/{seed}")
     fails: dict[int, int] = {}
     if faults:
@@ -240,10 +240,10 @@
             store.close()
             third = Store(after.stopped() if not machine else after, DISK, machine)
             if any(not entry.uncertain for ref, entry in third.entries.items() if (ref, entry.deadline) in uncertain):
-                raise Wrong("what was uncertain is sure after a restart")
+                raise WrongError("what was uncertain is sure after a restart")
             model.check(third, machine, faults)
-        except Wrong as error:
-            raise Wrong(f"seed {seed}, {'machine' if machine else 'process'}, stop {stop}: {error}") from None
+        except WrongError as error:
+            raise WrongError(f"seed {seed}, {'machine' if machine else 'process'}, stop {stop}: {error}") from None
         count += 1
     return count
 
@@ -265,10 +265,10 @@
     hurt = fmt.ref_of(hit)
     for ref, state in before.items():
         if ref != hurt and (ref not in after.entries or state_of(after.entries[ref]) != state):
-            raise Wrong(f"rot, seed {seed}: {ref} is not what it was, and its records are sound")
+            raise WrongError(f"rot, seed {seed}: {ref} is not what it was, and its records are sound")
     for ref, entry in after.entries.items():
         if ref == hurt and not entry.uncertain and (ref not in before or state_of(entry) != before[ref]):
-            raise Wrong(f"rot, seed {seed}: {ref} has lost a record and is not in doubt")
+            raise WrongError(f"rot, seed {seed}: {ref} has lost a record and is not in doubt")
     # Once all that was written then has been cleaned away, what was in doubt still is.
     doubted = {ref for ref, entry in after.entries.items() if entry.uncertain}
     for n in range(400):
@@ -279,7 +279,7 @@
     after.close()
     last = Store(disk, DISK)
     if {ref for ref, entry in last.entries.items() if entry.uncertain} != doubted:
-        raise Wrong(f"rot, seed {seed}: what was in doubt is not any more")
+        raise WrongError(f"rot, seed {seed}: what was in doubt is not any more")
 
 
 def main() -> None:
--- a/tests/store/mutations.py
+++ b/tests/store/mutations.py
@@ -191,7 +191,7 @@
                 for power in (machine, True):
                     try:
                         explore.explore(seed, power, 70, 10**9, faults)
-                    except explore.Wrong as error:
+                    except explore.WrongError as error:
                         return str(error)
                     except Exception as error:
                         return f"seed {seed}: {type(error).__name__}: {error}"
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -17,7 +17,7 @@
 from garnetrelay.cli.commands import command
 from garnetrelay.store import format as fmt
 from garnetrelay.store.format import Entry
-from garnetrelay.store.storage import FolderTaken
+from garnetrelay.store.storage import FolderTakenError
 from garnetrelay.store.store import Store, StoreError, load, name_of
 from tests.store import explore, mutations
 from tests.store.simulated import Disk, Stopped
@@ -75,7 +75,7 @@
 
 def test_second_process_on_a_folder_is_refused_and_the_first_goes_on(tmp_path: Path) -> None:
     first = Store.open(tmp_path, DISK)
-    with pytest.raises(FolderTaken, match="another relay works on this folder"):
+    with pytest.raises(FolderTakenError, match="another relay works on this folder"):
         Store.open(tmp_path, DISK)
     first.taken(entry("a"))
     assert first.flush()
