--- a/garnetrelay/counts.py
+++ b/garnetrelay/counters.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 
-class Counts:
+class Counters:
     """Messages by class and end, and configurations read again."""
 
     __slots__ = ("served", "refused", "failed", "reloads_ok", "reloads_failed")
--- a/garnetrelay/operators/figures.py
+++ b/garnetrelay/operators/figures.py
@@ -1,12 +1,12 @@
 """Figures of a relay in the text form of Prometheus. No I/O.
 
-What happens is counted where it happens (``counts.py``), from the start of the process; the rest is asked of the relay
+What happens is counted where it happens (``counters.py``), from the start of the process; the rest is asked of the relay
 when the figures are fetched, so that they are never old.
 """
 
 from __future__ import annotations
 
-from garnetrelay.counts import Counts
+from garnetrelay.counters import Counters
 
 
 def escaped(label: str) -> str:
@@ -14,7 +14,7 @@
     return label.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
 
 
-def text(counts: Counts, attempts: int, in_flight: int, known: int, excluded: int) -> str:
+def text(counts: Counters, attempts: int, in_flight: int, known: int, excluded: int) -> str:
     """All figures, a line each: messages, calls written whole to hosts, messages held, hosts."""
     lines = [
         f'relay_{name}{{class="{escaped(klass)}"}} {count}'
--- a/garnetrelay/operators/service.py
+++ b/garnetrelay/operators/service.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from garnetrelay.config.deployment import Address, Config
-from garnetrelay.counts import Counts
+from garnetrelay.counters import Counters
 from garnetrelay.operators import figures
 from garnetrelay.operators.calls import CallRefusedError
 from garnetrelay.operators.exclusions import Exclusions
@@ -47,7 +47,7 @@
     """What staff's calls need of a relay. ``Relay`` fits it without naming it: neither module imports the other's."""
 
     config: Config
-    counts: Counts
+    counts: Counters
     serving: bool
 
     @property
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -17,7 +17,7 @@
 from typing import TYPE_CHECKING
 
 from garnetrelay.config.deployment import Address, Config
-from garnetrelay.counts import Counts
+from garnetrelay.counters import Counters
 from garnetrelay.delivery.http import hosts as net
 from garnetrelay.delivery.http.answers import Outcome
 from garnetrelay.fronts.resp.server import Rejected, Reply, Request, Server
@@ -150,7 +150,7 @@
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
         self.listed: dict[str, io.HostEntry] = {}  # by host
         self.gone: dict[str, None] = {}  # hosts that were listed, the latest last
-        self.counts = Counts(config.class_names)
+        self.counts = Counters(config.class_names)
         self.operators: Operators | None = None
         self.fleet: Fleet | None = None
         self.giver: Giver | None = None
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -23,7 +23,7 @@
     (
         "garnetrelay",
         "garnetrelay.store",
-        "garnetrelay.counts",
+        "garnetrelay.counters",
         "garnetrelay.lag",
         "garnetrelay.looks",
         "garnetrelay.untried",
@@ -45,7 +45,7 @@
 # What decides: told what happened and when, it neither asks the machine nor acts on it.
 DECISIONS = (
     "starlingwick",
-    "garnetrelay.counts",
+    "garnetrelay.counters",
     "garnetrelay.fleet.leases",
     "garnetrelay.fleet.members",
     "garnetrelay.fleet.partitions",
