--- a/garnetrelay/lag.py
+++ b/garnetrelay/loop_lag.py
@@ -11,7 +11,7 @@
 STEP = 10_000_000  # what is told is rounded to whole steps: news of less is none
 
 
-class Lag:
+class LoopLag:
     """The lag of a loop, from the rounds that it has made."""
 
     __slots__ = ("value", "_exact", "_at", "_begun", "_told")
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -21,8 +21,8 @@
 from garnetrelay.delivery.http import hosts as net
 from garnetrelay.delivery.http.answers import Outcome
 from garnetrelay.fronts.resp.server import Rejected, Reply, Request, Server
-from garnetrelay.lag import Lag
 from garnetrelay.looks import PAUSE, after_a_look
+from garnetrelay.loop_lag import LoopLag
 from garnetrelay.membership.register import Discovery, News, Reader
 from garnetrelay.pending import PendingMessage
 from garnetrelay.platform.notices import Notices
@@ -164,7 +164,7 @@
         self.turn_due = False
         self.looked_at = 0  # when the last batch began
         self.flush_due = False
-        self.lag = Lag()
+        self.lag = LoopLag()
         self.alarm: asyncio.TimerHandle | None = None
         self.ends: list[tuple[str, str, int]] = []  # of this turn: what the platform is told of each
         self.unreleased = 0  # turns whose records are on their way to the disk
