--- a/garnetrelay/delivery/http/hosts.py
+++ b/garnetrelay/delivery/http/hosts.py
@@ -23,7 +23,7 @@
 
 from garnetrelay.config.deployment import Address
 from garnetrelay.delivery.http.answers import AnswerReader, Outcome
-from garnetrelay.looks import after_a_look
+from garnetrelay.socket_poll import after_socket_poll
 from starlingwick import interface as io
 
 log = logging.getLogger(__name__)
@@ -82,7 +82,7 @@
 
     def stops(self) -> None:
         """See that it ends in its time. An answer that lies there by then is read first."""
-        self.timer = asyncio.get_running_loop().call_at(self.stop_at / SECOND, after_a_look, self._time_is_up)
+        self.timer = asyncio.get_running_loop().call_at(self.stop_at / SECOND, after_socket_poll, self._time_is_up)
 
     def _time_is_up(self) -> None:
         """Unless it has passed to another process since its timer came: that has cancelled the timer."""
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -21,11 +21,11 @@
 from garnetrelay.delivery.http import hosts as net
 from garnetrelay.delivery.http.answers import Outcome
 from garnetrelay.fronts.resp.server import Rejected, Reply, Request, Server
-from garnetrelay.looks import PAUSE, after_a_look
 from garnetrelay.loop_lag import LoopLag
 from garnetrelay.membership.register import Discovery, News, Reader
 from garnetrelay.pending import PendingMessage
 from garnetrelay.platform.notices import Notices
+from garnetrelay.socket_poll import POLL_AFTER, after_socket_poll
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
 from garnetrelay.untried import Untried
@@ -581,8 +581,8 @@
 
     def _turn_soon(self) -> None:
         """The turn; but where this process did not run since it last read, what has come meanwhile is read first."""
-        if time.monotonic_ns() - self.looked_at > PAUSE:
-            after_a_look(self.turn)
+        if time.monotonic_ns() - self.looked_at > POLL_AFTER:
+            after_socket_poll(self.turn)
         else:
             self.turn()
 
@@ -724,8 +724,8 @@
     def _ring(self, at: int, token: int) -> None:
         now = time.monotonic_ns()
         self.lag.was_late(at, now)
-        if now - self.looked_at > PAUSE:
-            after_a_look(self.post, io.Alarm(token))
+        if now - self.looked_at > POLL_AFTER:
+            after_socket_poll(self.post, io.Alarm(token))
         else:
             self.post(io.Alarm(token))
 
--- a/garnetrelay/looks.py
+++ b/garnetrelay/socket_poll.py
@@ -11,10 +11,10 @@
 from collections.abc import Callable
 from typing import Any
 
-PAUSE = 100_000_000  # nanoseconds without a look after which one comes first: under each wait that decides anything
+POLL_AFTER = 100_000_000  # nanoseconds without a look after which one comes first: under each wait that decides anything
 
 
-def after_a_look(what: Callable[..., Any], *arguments: Any) -> None:
+def after_socket_poll(what: Callable[..., Any], *arguments: Any) -> None:
     """Run something once the loop has looked at its sockets, and what lay there is read: in the round after the next."""
     loop = asyncio.get_running_loop()
     loop.call_soon(loop.call_soon, lambda: what(*arguments))
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -25,7 +25,7 @@
         "garnetrelay.store",
         "garnetrelay.counters",
         "garnetrelay.loop_lag",
-        "garnetrelay.looks",
+        "garnetrelay.socket_poll",
         "garnetrelay.untried",
         "garnetrelay.fleet.members",
     ),
