untried.py is recovery_stats.py, Untried RecoveryStats

Change: a rename; the log line '... found untried: ...' stays.

Measured: the tests of that line in tests/test_crossings.py and the architecture's passed; mypy clean.

--- a/garnetrelay/untried.py
+++ b/garnetrelay/recovery_stats.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 
-class Untried:
+class RecoveryStats:
     """Messages with no attempt on record at the start, until each is tried or ended."""
 
     __slots__ = ("_left", "found", "tried", "late", "early")
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -25,10 +25,10 @@
 from garnetrelay.membership.register import Discovery, News, Reader
 from garnetrelay.pending import PendingMessage
 from garnetrelay.platform.notices import Notices
+from garnetrelay.recovery_stats import RecoveryStats
 from garnetrelay.socket_poll import POLL_AFTER, after_socket_poll
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
-from garnetrelay.untried import Untried
 from starlingwick import interface as io
 from starlingwick.control import MAY_HAVE_RUN, Pacer
 
@@ -90,8 +90,8 @@
         message, zones = self.message, self.relay.config.zone_names
         name = zones[message.zone] if 0 <= message.zone < len(zones) else ""
         self.written = self.relay.journal.trying(message.ref, name, time.time_ns() // MS)
-        if self.written and self.relay.untried.on_try(message.ref):
-            log.info("%s", self.relay.untried)
+        if self.written and self.relay.recovery_stats.on_try(message.ref):
+            log.info("%s", self.relay.recovery_stats)
         return net.call(address, message.ref, message.key, message.body, self.stop_at) if self.written else None
 
     def still_clear(self) -> bool:
@@ -157,7 +157,7 @@
         self.hearing: Hearing | None = None
         self.dests: set[int] = set()  # all that the list has ever named
         self.held: dict[str, PendingMessage] = {}
-        self.untried = Untried()
+        self.recovery_stats = RecoveryStats()
         self.recovering: deque[Entry] = deque()  # picked up, and not yet with the Pacer
         self.newcomers: dict[str, Newcomer] = {}
         self.inbox: list[io.Event] = []
@@ -332,8 +332,8 @@
 
     def close(self) -> None:
         """End at once: what is held waits in the journal."""
-        if self.untried.left:
-            log.info("%s", self.untried)
+        if self.recovery_stats.left:
+            log.info("%s", self.recovery_stats)
         if self.fleet is not None and self.stopping:
             self.fleet.leave()
         self.retire()
@@ -464,7 +464,7 @@
         now_ms = time.time_ns() // MS
         for entry in entries:
             if not entry.attempts:
-                self.untried.find(entry.ref)
+                self.recovery_stats.find(entry.ref)
             ends_at = time.monotonic_ns() + (entry.deadline - now_ms) * MS
             self.held[entry.ref] = PendingMessage(entry.ref, entry.klass, entry.key, entry.body, ends_at, entry.attempts)
             self.post(self._recovered(entry, now_ms))
@@ -778,8 +778,8 @@
         if message.over:
             return
         message.over = True
-        if self.untried.on_end(message.ref, time.monotonic_ns() >= message.ends_at - NEAR_END):
-            log.info("%s", self.untried)
+        if self.recovery_stats.on_end(message.ref, time.monotonic_ns() >= message.ends_at - NEAR_END):
+            log.info("%s", self.recovery_stats)
         by_class = (
             self.counts.served if result is None else (self.counts.failed if result == "dead" else self.counts.refused)
         )
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -26,7 +26,7 @@
         "garnetrelay.counters",
         "garnetrelay.loop_lag",
         "garnetrelay.socket_poll",
-        "garnetrelay.untried",
+        "garnetrelay.recovery_stats",
         "garnetrelay.fleet.members",
     ),
     ("garnetrelay.fleet.partitions",),
@@ -56,7 +56,7 @@
     "garnetrelay.store.cleaning",
     "garnetrelay.store.format",
     "garnetrelay.store.index",
-    "garnetrelay.untried",
+    "garnetrelay.recovery_stats",
     "garnetrelay.upgrade.protocol",
 )
 PROGRAMS = ("starlingwick.wirehost",)  # under a name above, but a program round it
