--- a/garnetrelay/rehearsal/checker/__init__.py
+++ b/garnetrelay/rehearsal/checker/__init__.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from garnetrelay.rehearsal import events as ev
-from garnetrelay.rehearsal.checker.docket import RULES, Docket, Verdict
 from garnetrelay.rehearsal.checker.drains import Drains
 from garnetrelay.rehearsal.checker.effects import Effects
 from garnetrelay.rehearsal.checker.ends import Ends
@@ -17,6 +16,7 @@
 from garnetrelay.rehearsal.checker.figures import Figures, figures_of
 from garnetrelay.rehearsal.checker.order import Order
 from garnetrelay.rehearsal.checker.returns import Returns
+from garnetrelay.rehearsal.checker.verdicts import RULES, Verdict, VerdictLog
 from garnetrelay.rehearsal.checker.waits import Waits
 
 __all__ = ["RULES", "Checker", "Figures", "Verdict", "figures_of"]
@@ -27,17 +27,17 @@
 
     def __init__(self, figures: Figures) -> None:
         self.facts = Facts(figures)
-        self.docket = Docket()
-        self.ends = Ends(self.facts, self.docket)
+        self.verdict_log = VerdictLog()
+        self.ends = Ends(self.facts, self.verdict_log)
         self._noters = self.facts.handlers
         self._takers: dict[type[ev.Observed], list[Callable[[Any], None]]] = {}
         for room in (
             self.ends,
-            Effects(self.facts, self.docket),
-            Drains(self.facts, self.docket),
-            Returns(self.facts, self.docket),
-            Order(self.facts, self.docket),
-            Waits(self.facts, self.docket),
+            Effects(self.facts, self.verdict_log),
+            Drains(self.facts, self.verdict_log),
+            Returns(self.facts, self.verdict_log),
+            Order(self.facts, self.verdict_log),
+            Waits(self.facts, self.verdict_log),
         ):
             for kind, taker in room.handlers.items():
                 self._takers.setdefault(kind, []).append(taker)
@@ -45,7 +45,7 @@
     @property
     def verdicts(self) -> list[Verdict]:
         """Every broken rule so far, in the order in which it was found."""
-        return self.docket.verdicts
+        return self.verdict_log.verdicts
 
     def take(self, event: ev.Event) -> None:
         """One more event; those that came before it in time must have been given before."""
@@ -54,9 +54,9 @@
         noter = self._noters.get(type(event))
         if noter is not None:
             noter(event)
-        self.docket.read_up_to(event.since)
+        self.verdict_log.read_up_to(event.since)
         for taker in self._takers.get(type(event), ()):
             taker(event)
         if isinstance(event, ev.RunEnded):
             self.ends.finishing = True
-            self.docket.finish()
+            self.verdict_log.finish()
--- a/garnetrelay/rehearsal/checker/drains.py
+++ b/garnetrelay/rehearsal/checker/drains.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 from garnetrelay.rehearsal import events as ev
-from garnetrelay.rehearsal.checker.docket import Docket, Handlers, seconds
 from garnetrelay.rehearsal.checker.facts import Facts
+from garnetrelay.rehearsal.checker.verdicts import Handlers, VerdictLog, seconds
 
 
 class Drains:
     """Judges calls and probes against what their relay has been told in its present life."""
 
-    def __init__(self, facts: Facts, docket: Docket) -> None:
+    def __init__(self, facts: Facts, verdict_log: VerdictLog) -> None:
         self.facts = facts
-        self.docket = docket
+        self.verdict_log = verdict_log
         self.told: dict[tuple[str, str], ev.Told] = {}  # by relay and route: those that take nothing new
         self.by_hand: dict[tuple[str, str], ev.OutByHand] = {}  # the same, whatever the register says
 
@@ -62,7 +62,7 @@
                 if isinstance(came, ev.CallCame)
                 else ("sent a probe" if isinstance(came, ev.ProbeCame) else "opened a connection")
             )
-            self.docket.broken(
+            self.verdict_log.broken(
                 3,
                 "sent-to-draining",
                 subject,
--- a/garnetrelay/rehearsal/checker/effects.py
+++ b/garnetrelay/rehearsal/checker/effects.py
@@ -5,16 +5,16 @@
 import functools
 
 from garnetrelay.rehearsal import events as ev
-from garnetrelay.rehearsal.checker.docket import Docket, Handlers, seconds
 from garnetrelay.rehearsal.checker.facts import Call, Facts, Message
+from garnetrelay.rehearsal.checker.verdicts import Handlers, VerdictLog, seconds
 
 
 class Effects:
     """Judges attempts against those before them, by what their relay could know."""
 
-    def __init__(self, facts: Facts, docket: Docket) -> None:
+    def __init__(self, facts: Facts, verdict_log: VerdictLog) -> None:
         self.facts = facts
-        self.docket = docket
+        self.verdict_log = verdict_log
 
     @property
     def handlers(self) -> Handlers:
@@ -34,13 +34,13 @@
         if len(others) == 1 and len(message.calls) == 1 and not message.refused:
             return  # the first of all: there is nothing to hold it against
         # What ended an earlier attempt may lie unread in this very round.
-        self.docket.later(event.at, functools.partial(self._judge_call, self.facts.calls[event.call]))
+        self.verdict_log.later(event.at, functools.partial(self._judge_call, self.facts.calls[event.call]))
 
     def _refused(self, event: ev.NoticeCame | ev.Answered) -> None:
         message = self.facts.messages.get(event.ref)
         told = event.result == "bounced" if isinstance(event, ev.NoticeCame) else event.answer != "ok"
         if message is not None and told:
-            self.docket.later(event.at, functools.partial(self._judge_refusal, message, event))
+            self.verdict_log.later(event.at, functools.partial(self._judge_refusal, message, event))
 
     def _judge_call(self, call: Call) -> None:
         came = call.came
@@ -146,7 +146,7 @@
     def _broken(
         self, fault: str, text: str, proof: list[ev.Event], at: ev.CallCame | ev.NoticeCame | ev.Answered
     ) -> None:
-        self.docket.broken(2, fault, at.ref, at.relay, at.at, text, proof)
+        self.verdict_log.broken(2, fault, at.ref, at.relay, at.at, text, proof)
 
 
 def _answer(message: Message) -> list[ev.Event]:
--- a/garnetrelay/rehearsal/checker/ends.py
+++ b/garnetrelay/rehearsal/checker/ends.py
@@ -5,9 +5,9 @@
 import functools
 
 from garnetrelay.rehearsal import events as ev
-from garnetrelay.rehearsal.checker.docket import Docket, Handlers, seconds
 from garnetrelay.rehearsal.checker.facts import Call, Facts, Message
 from garnetrelay.rehearsal.checker.figures import SECOND
+from garnetrelay.rehearsal.checker.verdicts import Handlers, VerdictLog, seconds
 
 BEFORE = 2 * SECOND  # starvation counts from so long before a deadline: what it delayed then comes late now
 AGAIN = SECOND // 4  # a judgement that must wait for a relay's return looks again after this
@@ -16,9 +16,9 @@
 class Ends:
     """Judges how messages end."""
 
-    def __init__(self, facts: Facts, docket: Docket) -> None:
+    def __init__(self, facts: Facts, verdict_log: VerdictLog) -> None:
         self.facts = facts
-        self.docket = docket
+        self.verdict_log = verdict_log
         self.finishing = False
 
     @property
@@ -36,11 +36,11 @@
     def _answered(self, event: ev.Answered) -> None:
         message = self.facts.messages.get(event.ref)
         if message is not None and event.answer == "ok":
-            self.docket.later(self.due(message), functools.partial(self._judge_end, message))
+            self.verdict_log.later(self.due(message), functools.partial(self._judge_end, message))
 
     def _relay_ended(self, event: ev.RelayEnded) -> None:
         if not event.planned:
-            self.docket.broken(
+            self.verdict_log.broken(
                 0,
                 "crashed",
                 event.relay,
@@ -53,7 +53,7 @@
     def _disk_used(self, event: ev.DiskUsed) -> None:
         most = self.facts.figures.disk_bytes
         if event.bytes > most:
-            self.docket.broken(
+            self.verdict_log.broken(
                 0,
                 "disk",
                 event.relay,
@@ -99,12 +99,12 @@
                     return  # the run ended before it could be told
             elif excused is None or self.facts.now <= excused + AGAIN:
                 again = self.facts.now + AGAIN if excused is None else max(self.facts.now, excused) + AGAIN
-                self.docket.later(again, functools.partial(self._judge_end, message))
+                self.verdict_log.later(again, functools.partial(self._judge_end, message))
                 return
             proof: list[ev.Event] = [message.handed, *_answer(message)]
             for call in message.calls:
                 proof.extend(call.proof())
-            self.docket.broken(
+            self.verdict_log.broken(
                 1,
                 "lost",
                 message.handed.ref,
@@ -115,7 +115,7 @@
                 proof,
             )
         elif excused is not None and first.since > excused:
-            self.docket.broken(
+            self.verdict_log.broken(
                 1,
                 "late",
                 message.handed.ref,
@@ -132,7 +132,7 @@
             return
         others = [other for other in message.notices if other.result != notice.result]
         if others:
-            self.docket.broken(
+            self.verdict_log.broken(
                 1,
                 "two-answers",
                 notice.ref,
@@ -143,7 +143,7 @@
             )
         call = message.delivered
         if call is not None and call.answered is not None and self._surely_read(call, notice.since):
-            self.docket.broken(
+            self.verdict_log.broken(
                 1,
                 "two-answers",
                 notice.ref,
@@ -168,7 +168,7 @@
     def _call(self, came: ev.CallCame) -> None:
         message = self.facts.messages.get(came.ref)
         if message is None:
-            self.docket.broken(
+            self.verdict_log.broken(
                 1,
                 "unknown",
                 came.ref,
@@ -180,7 +180,7 @@
             return
         ended = [notice for notice in message.notices if notice.at < came.first]
         if ended:
-            self.docket.broken(
+            self.verdict_log.broken(
                 1,
                 "sent-after-end",
                 came.ref,
@@ -192,7 +192,7 @@
             )
         for call in message.calls:
             if call.came is not came and call.delivered and self._surely_read(call, came.since):
-                self.docket.broken(
+                self.verdict_log.broken(
                     1,
                     "sent-after-end",
                     came.ref,
@@ -207,7 +207,7 @@
         if message is None or event.why != "closed-twice":
             return
         if relay.signalled is None and relay.life == message.life:
-            self.docket.broken(
+            self.verdict_log.broken(
                 1,
                 "hung-up",
                 event.ref,
--- a/garnetrelay/rehearsal/checker/facts.py
+++ b/garnetrelay/rehearsal/checker/facts.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 
 from garnetrelay.rehearsal import events as ev
-from garnetrelay.rehearsal.checker.docket import Handlers
 from garnetrelay.rehearsal.checker.figures import SECOND, ClassFigures, Figures
+from garnetrelay.rehearsal.checker.verdicts import Handlers
 
 REFUSALS = frozenset((429, 503, 504, 410))  # answers that say: it never ran
 KEPT = 90 * SECOND  # messages that ended so long ago are forgotten
--- a/garnetrelay/rehearsal/checker/order.py
+++ b/garnetrelay/rehearsal/checker/order.py
@@ -11,9 +11,9 @@
 from collections import deque
 
 from garnetrelay.rehearsal import events as ev
-from garnetrelay.rehearsal.checker.docket import Docket, Handlers, seconds
 from garnetrelay.rehearsal.checker.facts import Call, Facts, Message
 from garnetrelay.rehearsal.checker.figures import SECOND
+from garnetrelay.rehearsal.checker.verdicts import Handlers, VerdictLog, seconds
 
 MOST = 256  # messages of one key that are looked back at
 
@@ -21,9 +21,9 @@
 class Order:
     """Judges the calls of messages that go in turn."""
 
-    def __init__(self, facts: Facts, docket: Docket) -> None:
+    def __init__(self, facts: Facts, verdict_log: VerdictLog) -> None:
         self.facts = facts
-        self.docket = docket
+        self.verdict_log = verdict_log
         self.queues: dict[tuple[str, str], deque[Message]] = {}  # by relay and key
 
     @property
@@ -41,7 +41,7 @@
     def _came(self, event: ev.CallCame) -> None:
         message = self.facts.messages.get(event.ref)
         if message is not None and message.klass.in_turn and message.handed.key:
-            self.docket.later(event.at, functools.partial(self._judge, message, self.facts.calls[event.call]))
+            self.verdict_log.later(event.at, functools.partial(self._judge, message, self.facts.calls[event.call]))
 
     def _judge(self, message: Message, call: Call) -> None:
         came = call.came
@@ -92,4 +92,4 @@
         return one.answer is not None and one.taken and one.answer.at < other.handed.at
 
     def _broken(self, fault: str, came: ev.CallCame, text: str, proof: list[ev.Event]) -> None:
-        self.docket.broken(5, fault, came.ref, came.relay, came.at, text, proof)
+        self.verdict_log.broken(5, fault, came.ref, came.relay, came.at, text, proof)
--- a/garnetrelay/rehearsal/checker/returns.py
+++ b/garnetrelay/rehearsal/checker/returns.py
@@ -13,9 +13,9 @@
 from dataclasses import dataclass, field
 
 from garnetrelay.rehearsal import events as ev
-from garnetrelay.rehearsal.checker.docket import Docket, Handlers, seconds
 from garnetrelay.rehearsal.checker.facts import Facts
 from garnetrelay.rehearsal.checker.figures import SECOND
+from garnetrelay.rehearsal.checker.verdicts import Handlers, VerdictLog, seconds
 
 BLAME = 2 / 3
 LEAST_SLACK = 2.0  # calls
@@ -48,9 +48,9 @@
 class Returns:
     """Judges the load on partners that have come back."""
 
-    def __init__(self, facts: Facts, docket: Docket) -> None:
+    def __init__(self, facts: Facts, verdict_log: VerdictLog) -> None:
         self.facts = facts
-        self.docket = docket
+        self.verdict_log = verdict_log
         self.scopes: dict[str, Scope] = {}
 
     @property
@@ -118,7 +118,7 @@
         if len(knew) < BLAME * len(scope.came):
             return
         relays = sorted({key[0] for _, key in knew})
-        self.docket.broken(
+        self.verdict_log.broken(
             4,
             "pushed-over",
             name,
--- a/garnetrelay/rehearsal/checker/docket.py
+++ b/garnetrelay/rehearsal/checker/verdicts.py
@@ -37,7 +37,7 @@
 Handlers = dict[type[ev.Observed], Callable[[Any], None]]  # what takes in which event
 
 
-class Docket:
+class VerdictLog:
     """Judgements that wait until all that happened by a time must have been read. An event whose ``since`` lies
     behind that time was read in a later round of the loop than anything that came before it."""
 
--- a/garnetrelay/rehearsal/checker/waits.py
+++ b/garnetrelay/rehearsal/checker/waits.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 
 from garnetrelay.rehearsal import events as ev
-from garnetrelay.rehearsal.checker.docket import Docket, Handlers, seconds
 from garnetrelay.rehearsal.checker.facts import Facts
+from garnetrelay.rehearsal.checker.verdicts import Handlers, VerdictLog, seconds
 
 
 @dataclass(slots=True, eq=False)
@@ -24,9 +24,9 @@
 class Waits:
     """Judges calls and probes against the waits that their relay was told."""
 
-    def __init__(self, facts: Facts, docket: Docket) -> None:
+    def __init__(self, facts: Facts, verdict_log: VerdictLog) -> None:
         self.facts = facts
-        self.docket = docket
+        self.verdict_log = verdict_log
         self.waits: dict[tuple[str, str], deque[Wait]] = {}  # by relay and scope
         self.by_call: dict[int, Wait] = {}
 
@@ -70,14 +70,14 @@
             if wait.life != relay.life or came.at >= told.at + told.wait:
                 continue  # a restart ends it
             if came.first > pass_until + relay.starved(told.at, came.at):
-                self.docket.later(came.at, functools.partial(self._judge, wait, came))
+                self.verdict_log.later(came.at, functools.partial(self._judge, wait, came))
 
     def _judge(self, wait: Wait, came: ev.CallCame | ev.ProbeCame) -> None:
         if wait.void:
             return
         told = wait.answered
         subject = came.ref if isinstance(came, ev.CallCame) else came.route
-        self.docket.broken(
+        self.verdict_log.broken(
             6,
             "sent-in-wait",
             subject,
