--- a/garnetrelay/rehearsal/conductor.py
+++ b/garnetrelay/rehearsal/conductor.py
@@ -19,12 +19,12 @@
 from garnetrelay.rehearsal.clock import Clock, run_watched
 from garnetrelay.rehearsal.links.script import Move
 from garnetrelay.rehearsal.links.stage import LOOK_EVERY, Met, Stage
+from garnetrelay.rehearsal.misbehaving_clients import MisbehavingClients
 from garnetrelay.rehearsal.observer import Observer
 from garnetrelay.rehearsal.partners.endpoints import Partners
 from garnetrelay.rehearsal.plan import SECOND, Plan, Step
 from garnetrelay.rehearsal.register import Entry, Register
 from garnetrelay.rehearsal.relays import START_TRIES, RelayProcess, StartError
-from garnetrelay.rehearsal.rude import Rude
 from garnetrelay.rehearsal.scenario import TROUBLES, Scenario
 from garnetrelay.rehearsal.tally import Tally
 
@@ -41,7 +41,7 @@
     plan: Plan
     verdicts: list[Verdict]
     tally: Tally
-    rude: list[Rude]
+    misbehaving: list[MisbehavingClients]
     ended_at: int
     fleet: list[Met] = field(default_factory=list)  # what befell relays that know each other, and how long they took
 
@@ -76,7 +76,7 @@
         self.crowd = Crowd(plan, scenario, self.observer, lambda relay: self.relays[relay].port)
         self.partners = Partners(plan, self.observer, self._delivered)
         self.register = Register(plan, self.observer, self.partners.address, self.crowd.bounced)
-        self.rude: list[Rude] = []
+        self.misbehaving: list[MisbehavingClients] = []
         self._upgrading = {name: asyncio.Lock() for name in plan.relays}
         self._tasks: set[asyncio.Task[None]] = set()
         self._looking: set[asyncio.Task[None]] = set()
@@ -124,7 +124,7 @@
                 self.plan,
                 self.checker.verdicts,
                 self.tally,
-                self.rude,
+                self.misbehaving,
                 at,
                 [] if self.stage is None else self.stage.met(),
             )
@@ -234,9 +234,10 @@
             self._then(step, self.partners.absurd.difference_update, step.partners)
         elif spec.what == "bad-clients":
             for relay in self.relays.values():
-                rude = Rude(relay.port, spec.count, f"{self.plan.seed}/rude/{relay.name}")
-                self.rude.append(rude)
-                self._spawn(rude.run((step.ends - step.at) / SECOND))
+                # The seed keeps its word: earlier runs can be played again.
+                clients = MisbehavingClients(relay.port, spec.count, f"{self.plan.seed}/rude/{relay.name}")
+                self.misbehaving.append(clients)
+                self._spawn(clients.run((step.ends - step.at) / SECOND))
 
     def _then(self, step: Step, what: Callable[..., Any], *arguments: Any) -> None:
         """At the step's end."""
--- a/garnetrelay/rehearsal/rude.py
+++ b/garnetrelay/rehearsal/misbehaving_clients.py
@@ -30,7 +30,7 @@
     )
 
 
-class Rude:
+class MisbehavingClients:
     """So many bad clients at once, each coming again as soon as it is turned away, until a time."""
 
     def __init__(self, port: int, count: int, seed: str) -> None:
--- a/garnetrelay/rehearsal/report/live.py
+++ b/garnetrelay/rehearsal/report/live.py
@@ -123,8 +123,10 @@
                 *("-" if value is None else f"{value:.2f}" for value in (met.noticed, met.known, met.one_view)),
             )
         console.print(table)
-    for rude in outcome.rude:
-        console.print(Text(f"bad clients: {rude.tried} tried, {rude.left_waiting} left with neither error nor close"))
+    for clients in outcome.misbehaving:
+        console.print(
+            Text(f"bad clients: {clients.tried} tried, {clients.left_waiting} left with neither error nor close")
+        )
     end = (
         Text("every rule held", style="bold green")
         if outcome.kept
--- a/garnetrelay/rehearsal/report/machine.py
+++ b/garnetrelay/rehearsal/report/machine.py
@@ -33,8 +33,8 @@
         **outcome.tally.summary(),
         **({"fleet": msgspec.to_builtins(outcome.fleet)} if outcome.fleet else {}),
         "bad clients": {
-            "tried": sum(rude.tried for rude in outcome.rude),
-            "left with neither error nor close": sum(rude.left_waiting for rude in outcome.rude),
+            "tried": sum(clients.tried for clients in outcome.misbehaving),
+            "left with neither error nor close": sum(clients.left_waiting for clients in outcome.misbehaving),
         },
     }
 
