--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -20,7 +20,7 @@
 
 from benchmarks.peers import SETTINGS, memory_mb
 from garnetrelay.rehearsal import staff
-from garnetrelay.rehearsal.scripted import Client, ScriptedHost, ScriptedPlatform
+from garnetrelay.rehearsal.scripted_peers import Client, ScriptedHost, ScriptedPlatform
 
 START_TIME = 120.0  # seconds
 PIPED = 50  # hand-ins on their way on a connection
--- a/benchmarks/watches.py
+++ b/benchmarks/watches.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 from garnetrelay.config.deployment import load
-from garnetrelay.rehearsal.scripted import ScriptedPlatform
+from garnetrelay.rehearsal.scripted_peers import ScriptedPlatform
 from garnetrelay.relay import Relay
 
 LONGEST = 45.0  # seconds: beyond it the watch counts as never opened anew
--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -11,7 +11,7 @@
 from garnetrelay.operators.calls import CallRefusedError
 from garnetrelay.operators.exclusions import Exclusions
 from garnetrelay.operators.front import MOST_CALLERS
-from garnetrelay.rehearsal.scripted import PATIENCE
+from garnetrelay.rehearsal.scripted_peers import PATIENCE
 from starlingwick import interface as io
 from starlingwick.control import Pacer
 from tests.helpers import S, settings
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -10,8 +10,8 @@
 from typing import Any
 
 from garnetrelay.config.deployment import Config, load
-from garnetrelay.rehearsal import scripted
-from garnetrelay.rehearsal.scripted import PATIENCE, ScriptedHost, ScriptedPlatform
+from garnetrelay.rehearsal import scripted_peers
+from garnetrelay.rehearsal.scripted_peers import PATIENCE, ScriptedHost, ScriptedPlatform
 from garnetrelay.relay import Relay
 
 FACTS: dict[str, Any] = {
@@ -69,7 +69,7 @@
     return json.dumps({"index": index, "snapshot": snapshot, "endpoints": list(endpoints)})
 
 
-class Client(scripted.Client):
+class Client(scripted_peers.Client):
     """A client that hands in messages as the tests' classes have them."""
 
     async def enqueue_unread(self, ref: str, d: int) -> None:
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -14,7 +14,7 @@
 from sortedcontainers import SortedList  # type: ignore[import-untyped]
 
 from garnetrelay.rehearsal.http import Call
-from garnetrelay.rehearsal.scripted import Watch
+from garnetrelay.rehearsal.scripted_peers import Watch
 from garnetrelay.relay import MOST_GONE
 from starlingwick import interface as io
 from starlingwick.control import Pacer
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,7 +22,7 @@
 from garnetrelay.membership.register import Lines, Unread
 from garnetrelay.platform import notices
 from garnetrelay.rehearsal.http import Call
-from garnetrelay.rehearsal.scripted import PATIENCE, ScriptedHost, ScriptedPlatform
+from garnetrelay.rehearsal.scripted_peers import PATIENCE, ScriptedHost, ScriptedPlatform
 from garnetrelay.relay import Relay
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -15,7 +15,7 @@
 import pytest
 import pytest_asyncio
 
-from garnetrelay.rehearsal.scripted import PATIENCE, ScriptedHost, ScriptedPlatform
+from garnetrelay.rehearsal.scripted_peers import PATIENCE, ScriptedHost, ScriptedPlatform
 from garnetrelay.store.format import Entry
 from garnetrelay.store.storage import Folder
 from garnetrelay.store.store import Store, load
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -11,7 +11,7 @@
 from garnetrelay.delivery.http.answers import AnswerReader, Outcome
 from garnetrelay.fronts.resp import server as clients
 from garnetrelay.membership import register as discovery
-from garnetrelay.rehearsal.scripted import ScriptedHost
+from garnetrelay.rehearsal.scripted_peers import ScriptedHost
 from garnetrelay.store.storage import Folder
 from garnetrelay.store.store import load
 from starlingwick import interface as io
