upgrade/give.py, take.py are handover/sender.py, receiver.py

Change: the package upgrade is handover; Giver HandoverSender, Hearing PredecessorLink, Giving and Taking SenderState and ReceiverState, tests/upgrade tests/handover. Staff's words, log lines, the socket's name and the frames stay. __main__.py: the two import lines.

--- a/garnetrelay/__main__.py
+++ b/garnetrelay/__main__.py
@@ -16,8 +16,8 @@
 from garnetrelay.store.store import StoreError
 
 if TYPE_CHECKING:
+    from garnetrelay.handover.receiver import Inheritance
     from garnetrelay.store.ahead import Ahead
-    from garnetrelay.upgrade.take import Inheritance
 
 log = logging.getLogger("garnetrelay")
 
@@ -35,7 +35,7 @@
     """What another process that serves from this folder hands to this one, where staff may upgrade a relay."""
     if config.operators is None:
         return config, None, None
-    from garnetrelay.upgrade import take  # only where it may be
+    from garnetrelay.handover import receiver as take  # only where it may be
 
     ahead = take.read_folder(config.state)
     inheritance = take.ask(config.state)
--- a/garnetrelay/cli/upgrade.py
+++ b/garnetrelay/cli/upgrade.py
@@ -14,7 +14,7 @@
 
 from garnetrelay.cli.operators import AddressType, ask
 from garnetrelay.config.deployment import Address
-from garnetrelay.upgrade.channel import Door
+from garnetrelay.handover.channel import Door
 
 LOOK_EVERY = 0.05  # seconds
 TERM_TIME = 3.7  # seconds from SIGTERM until the old process must be gone
--- a/garnetrelay/upgrade/channel.py
+++ b/garnetrelay/handover/channel.py
@@ -13,7 +13,7 @@
 import struct
 from pathlib import Path
 
-from garnetrelay.upgrade.protocol import HEAD, Frame, ProtocolError, decode, encode, lengths
+from garnetrelay.handover.protocol import HEAD, Frame, ProtocolError, decode, encode, lengths
 
 NAME = "upgrade"
 FRAME_TIME = 2.0  # seconds in which a frame goes or comes whole
--- a/garnetrelay/upgrade/interface.py
+++ b/garnetrelay/handover/interface.py
@@ -73,7 +73,7 @@
         ...
 
     @property
-    def hearing(self) -> Predecessor | None:
+    def predecessor(self) -> Predecessor | None:
         """None where this process began from the folder."""
         ...
 
--- a/garnetrelay/upgrade/protocol.py
+++ b/garnetrelay/handover/protocol.py
@@ -184,7 +184,7 @@
 
 
 @dataclass(slots=True)
-class Giving:
+class SenderState:
     """The old process's side: told what happens, it says whose the relay is and what to do."""
 
     owner: Owner = Owner.OLD
@@ -237,7 +237,7 @@
 
 
 @dataclass(slots=True)
-class Taking:
+class ReceiverState:
     """The new process's side. What has come before END is not ours: the old process may still be the owner, or
     nobody, and then the folder is."""
 
--- a/garnetrelay/upgrade/take.py
+++ b/garnetrelay/handover/receiver.py
@@ -13,11 +13,11 @@
 from pathlib import Path
 
 from garnetrelay.config.deployment import Address
+from garnetrelay.handover import protocol as p
+from garnetrelay.handover.channel import FRAME_TIME, Channel, ChannelError, Door
 from garnetrelay.store.ahead import Ahead, read_ahead
 from garnetrelay.store.storage import Folder
 from garnetrelay.store.store import number_in
-from garnetrelay.upgrade import protocol as p
-from garnetrelay.upgrade.channel import FRAME_TIME, Channel, ChannelError, Door
 
 log = logging.getLogger(__name__)
 
@@ -82,7 +82,7 @@
     if channel is None:
         return None
     found: Inheritance | None = None
-    taking, patience = p.Taking(), GIVE_TIME
+    taking, patience = p.ReceiverState(), GIVE_TIME
     try:
         channel.send(p.Hello([p.VERSION]))
         while taking.owner is p.Owner.OLD:
@@ -122,7 +122,7 @@
     return found
 
 
-class Hearing:
+class PredecessorLink:
     """What the old process still has to say: hosts that staff take out there."""
 
     def __init__(self, channel: Channel, exclude: Callable[[str, bool], str]) -> None:
--- a/garnetrelay/upgrade/give.py
+++ b/garnetrelay/handover/sender.py
@@ -13,8 +13,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, TypeVar
 
-from garnetrelay.upgrade import protocol as p
-from garnetrelay.upgrade.channel import Channel, ChannelError, Door
+from garnetrelay.handover import protocol as p
+from garnetrelay.handover.channel import Channel, ChannelError, Door
 from starlingwick import interface as io
 from starlingwick.hold import NEVER
 from starlingwick.memory import remember
@@ -22,8 +22,8 @@
 if TYPE_CHECKING:
     from garnetrelay.delivery.http import hosts as net
     from garnetrelay.fronts.resp import server as front
+    from garnetrelay.handover.interface import PassingRelay
     from garnetrelay.pending import PendingMessage
-    from garnetrelay.upgrade.interface import PassingRelay
 
 log = logging.getLogger(__name__)
 
@@ -55,13 +55,13 @@
     os.execv(sys.executable, sys.orig_argv)
 
 
-class Giver:
+class HandoverSender:
     """Waits for a new process, and gives it the relay."""
 
     def __init__(self, relay: PassingRelay) -> None:
         self.relay = relay
         self.loop = asyncio.get_running_loop()
-        self.state = p.Giving()
+        self.state = p.SenderState()
         self.channel: Channel | None = None
         self.task: asyncio.Task[None] | None = None
         self.start_anew = start_anew
@@ -200,8 +200,8 @@
     def _give(self, channel: Channel, listener: socket.socket) -> p.Step:
         relay = self.relay
         step = self.state.given()
-        if relay.hearing is not None:
-            relay.hearing.bye()  # the process before this one must not take its end for a death
+        if relay.predecessor is not None:
+            relay.predecessor.bye()  # the process before this one must not take its end for a death
         relay.retire()
         claim = relay.journal.hand_over()
         try:
--- a/garnetrelay/pending.py
+++ b/garnetrelay/pending.py
@@ -1,6 +1,6 @@
 """The record of one message that this relay has taken on and that has not ended. No I/O.
 
-Owned by the core (``relay.py``), which keeps one for each such message; a handover (``upgrade/``) reads them.
+Owned by the core (``relay.py``), which keeps one for each such message; a handover (``handover/``) reads them.
 """
 
 from __future__ import annotations
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -34,12 +34,12 @@
 
 if TYPE_CHECKING:
     from garnetrelay.fleet.service import Fleet
+    from garnetrelay.handover.protocol import State
+    from garnetrelay.handover.receiver import Inheritance, PredecessorLink
+    from garnetrelay.handover.sender import HandoverSender
     from garnetrelay.operators.service import Operators
     from garnetrelay.store.ahead import Ahead
     from garnetrelay.store.durability import Syncing
-    from garnetrelay.upgrade.give import Giver
-    from garnetrelay.upgrade.protocol import State
-    from garnetrelay.upgrade.take import Hearing, Inheritance
 
 log = logging.getLogger(__name__)
 
@@ -153,8 +153,8 @@
         self.counts = Counters(config.class_names)
         self.operators: Operators | None = None
         self.fleet: Fleet | None = None
-        self.giver: Giver | None = None
-        self.hearing: Hearing | None = None
+        self.handover_sender: HandoverSender | None = None
+        self.predecessor: PredecessorLink | None = None
         self.dests: set[int] = set()  # all that the list has ever named
         self.held: dict[str, PendingMessage] = {}
         self.recovery_stats = RecoveryStats()
@@ -239,14 +239,14 @@
         self.serving = True
         self._recover_slice()
         if self.config.operators is not None:
-            from garnetrelay.upgrade.give import Giver  # staff may upgrade it
+            from garnetrelay.handover.sender import HandoverSender  # staff may upgrade it
 
-            self.giver = Giver(self)
+            self.handover_sender = HandoverSender(self)
         if self.inheritance is not None:
-            from garnetrelay.upgrade.take import Hearing
+            from garnetrelay.handover.receiver import PredecessorLink
 
             self.inheritance.taken()
-            self.hearing = Hearing(self.inheritance.channel, self._exclude_as_told)
+            self.predecessor = PredecessorLink(self.inheritance.channel, self._exclude_as_told)
             self.inheritance = None
         return address
 
@@ -273,8 +273,8 @@
         if self.stopping or self.closed:
             return
         self.stopping = True
-        if self.hearing is not None:
-            self.hearing.bye()
+        if self.predecessor is not None:
+            self.predecessor.bye()
         log.info("stopping: %d messages held", len(self.held))
         at = time.monotonic_ns() + STOP_AFTER
         self.post(io.Stopping(at))
@@ -339,8 +339,8 @@
         self.retire()
         if self.operators is not None:
             self.operators.close()
-        if self.giver is not None:
-            self.giver.close()
+        if self.handover_sender is not None:
+            self.handover_sender.close()
         self.hosts.close()
         self.journal.close()
 
@@ -350,9 +350,9 @@
         """Whether the listener closes what clients have open, to end."""
         return self.server.draining
 
-    def successor(self) -> Giver | None:
+    def successor(self) -> HandoverSender | None:
         """The handover's sender once the relay has passed to another process; None before."""
-        return self.giver if self.giver is not None and self.giver.passed else None
+        return self.handover_sender if self.handover_sender is not None and self.handover_sender.passed else None
 
     def in_flight(self) -> int:
         """How many messages are taken on and not ended."""
--- a/tests/upgrade/cut.py
+++ b/tests/handover/cut.py
@@ -1,4 +1,4 @@
-"""A daemon that ends itself at one point of an upgrade: ``python -m tests.upgrade.cut receive:State:after``.
+"""A daemon that ends itself at one point of an upgrade: ``python -m tests.handover.cut receive:State:after``.
 
 A point is an end of the channel (``send`` or ``receive``), a frame, and a side of it (``before``, ``after``); ``hang`` in
 place of a side stands still there instead. Nothing of this is part of the program.
@@ -13,8 +13,8 @@
 from typing import Any
 
 from garnetrelay import __main__ as daemon
-from garnetrelay.upgrade.channel import FRAME_TIME, Channel
-from garnetrelay.upgrade.protocol import Frame
+from garnetrelay.handover.channel import FRAME_TIME, Channel
+from garnetrelay.handover.protocol import Frame
 
 OLD = (
     "receive:Hello:after",
--- a/tests/upgrade/test_cut.py
+++ b/tests/handover/test_cut.py
@@ -14,9 +14,9 @@
 import pytest
 import pytest_asyncio
 
+from tests.handover.cut import NEW, OLD
 from tests.sockets import Client, Field
 from tests.test_process import ROOT
-from tests.upgrade.cut import NEW, OLD
 
 PATIENCE = 30.0
 
@@ -35,7 +35,7 @@
             return int(free.getsockname()[1])
 
     async def start(self, point: str = "") -> asyncio.subprocess.Process:
-        words = ["tests.upgrade.cut", point] if point else ["garnetrelay"]
+        words = ["tests.handover.cut", point] if point else ["garnetrelay"]
         child = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
--- a/tests/upgrade/test_ownership.py
+++ b/tests/handover/test_ownership.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from garnetrelay.upgrade import protocol as p
-from garnetrelay.upgrade.protocol import Giving, Owner, Step, Taking, Turn
+from garnetrelay.handover import protocol as p
+from garnetrelay.handover.protocol import Owner, ReceiverState, SenderState, Step, Turn
 
 STATE = p.State(0, "", [], [], {})
 SENT: tuple[tuple[p.Frame, int], ...] = (
@@ -59,8 +59,8 @@
         return not (with_old or on_its_way or with_new)
 
 
-def giving(world: World) -> Giving:
-    return Giving(world.old_owner, world.taken, world.over)
+def giving(world: World) -> SenderState:
+    return SenderState(world.old_owner, world.taken, world.over)
 
 
 def follow(world: World, step: Step) -> World:
@@ -75,7 +75,9 @@
     return world
 
 
-def moves(world: World, giver: Callable[[World], Giving], taker: Callable[[World], Taking]) -> Iterator[World]:
+def moves(
+    world: World, giver: Callable[[World], SenderState], taker: Callable[[World], ReceiverState]
+) -> Iterator[World]:
     """All that may happen next."""
     old_at_work = world.old and not world.anew
     if world.old:
@@ -134,8 +136,8 @@
         yield replace(world, folder=True)
 
 
-def taking(world: World) -> Taking:
-    return Taking(world.new_owner, world.has_state)
+def taking(world: World) -> ReceiverState:
+    return ReceiverState(world.new_owner, world.has_state)
 
 
 def wrong(world: World) -> str:
@@ -160,7 +162,9 @@
     return "nobody owns the relay"
 
 
-def explore(giver: Callable[[World], Giving] = giving, taker: Callable[[World], Taking] = taking) -> tuple[int, str]:
+def explore(
+    giver: Callable[[World], SenderState] = giving, taker: Callable[[World], ReceiverState] = taking
+) -> tuple[int, str]:
     """How many states there are, and what is wrong with the first that is, with the way to it."""
     start = World()
     came: dict[World, World | None] = {start: None}
@@ -190,21 +194,21 @@
     assert count == 111, count  # stated in docs/design/018-upgrade.md
 
 
-class KeepsGiving(Giving):
+class KeepsGiving(SenderState):
     """Thinks that it still has what it has given."""
 
     def lost(self) -> Step:
         return Step.SERVE
 
 
-class StartsTooSoon(Giving):
+class StartsTooSoon(SenderState):
     """Starts anew although the new process may only be slow."""
 
     def overdue(self) -> Step:
         return Step.START_ANEW
 
 
-class TakesEarly(Taking):
+class TakesEarly(ReceiverState):
     """Owns the relay as soon as the claim is here."""
 
     def heard(self, frame: p.Frame, descriptors: int) -> Turn:
@@ -214,7 +218,7 @@
         return turn
 
 
-class HoldsOn(Taking):
+class HoldsOn(ReceiverState):
     """Waits for more where the old process has died on the way."""
 
     def lost(self) -> Turn:
@@ -230,12 +234,12 @@
         (HoldsOn, "nobody owns"),
     ],
 )
-def test_planted_faults_are_found(kind: type[Giving] | type[Taking], named: str) -> None:
-    def giver(world: World) -> Giving:
-        return kind(world.old_owner, world.taken, world.over) if issubclass(kind, Giving) else giving(world)
+def test_planted_faults_are_found(kind: type[SenderState] | type[ReceiverState], named: str) -> None:
+    def giver(world: World) -> SenderState:
+        return kind(world.old_owner, world.taken, world.over) if issubclass(kind, SenderState) else giving(world)
 
-    def taker(world: World) -> Taking:
-        return kind(world.new_owner, world.has_state) if issubclass(kind, Taking) else taking(world)
+    def taker(world: World) -> ReceiverState:
+        return kind(world.new_owner, world.has_state) if issubclass(kind, ReceiverState) else taking(world)
 
     _, fault = explore(giver, taker)
     assert named in fault, fault
--- a/tests/upgrade/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -14,8 +14,8 @@
 import pytest
 import pytest_asyncio
 
-from garnetrelay.upgrade import protocol as p
-from garnetrelay.upgrade.channel import Channel, Door
+from garnetrelay.handover import protocol as p
+from garnetrelay.handover.channel import Channel, Door
 from starlingwick import interface as io
 from starlingwick.control import Pacer
 from starlingwick.memory import remember, restore
@@ -164,7 +164,7 @@
 
 
 def test_each_state_says_who_owns_the_relay() -> None:
-    giving = p.Giving()
+    giving = p.SenderState()
     assert giving.hello([2], True) is giving.hello([1], False) is p.Step.REFUSE
     assert giving.hello([1, 2], True) is p.Step.GIVE
     assert giving.lost() is giving.overdue() is giving.stop() is p.Step.SERVE
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -34,7 +34,7 @@
     ("garnetrelay.config",),
     ("garnetrelay.fronts", "garnetrelay.delivery", "garnetrelay.membership"),
     ("garnetrelay.platform", "garnetrelay.pending"),
-    ("garnetrelay.upgrade",),
+    ("garnetrelay.handover",),
     ("garnetrelay.operators",),
     ("garnetrelay.fleet",),
     ("garnetrelay.relay", "garnetrelay.laboratory", "starlingwick.wirehost"),
@@ -57,7 +57,7 @@
     "garnetrelay.store.format",
     "garnetrelay.store.index",
     "garnetrelay.recovery_stats",
-    "garnetrelay.upgrade.protocol",
+    "garnetrelay.handover.protocol",
 )
 PROGRAMS = ("starlingwick.wirehost",)  # under a name above, but a program round it
 MACHINE = frozenset(
@@ -71,7 +71,7 @@
     "garnetrelay.fleet",
     "garnetrelay.operators",
     "garnetrelay.store.durability",
-    "garnetrelay.upgrade",
+    "garnetrelay.handover",
 )
 
 # What only tools need (requirements-tools.txt); the deployed relay does without.
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,6 +18,8 @@
 from garnetrelay.delivery.http import hosts
 from garnetrelay.delivery.http.answers import Outcome
 from garnetrelay.fronts.resp import server as clients
+from garnetrelay.handover.channel import Door
+from garnetrelay.handover.protocol import VERSION, Hello
 from garnetrelay.membership import register
 from garnetrelay.membership.register import Lines, Unread
 from garnetrelay.platform import notices
@@ -26,8 +28,6 @@
 from garnetrelay.relay import Relay
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
-from garnetrelay.upgrade.channel import Door
-from garnetrelay.upgrade.protocol import VERSION, Hello
 from starlingwick import interface as io
 from tests.sockets import Field, endpoint, listing, until
 
@@ -707,17 +707,17 @@
     field.operators = True
     await field.start()
     relay = field.relays[0]
-    assert relay.giver is not None
+    assert relay.handover_sender is not None
     begun: list[bool] = []
-    relay.giver.start_anew = lambda: begun.append(True)
-    quiet = relay.giver._quieten
+    relay.handover_sender.start_anew = lambda: begun.append(True)
+    quiet = relay.handover_sender._quieten
 
     async def quieten() -> socket.socket:
         if told:
             relay.stop()
         return await quiet()
 
-    relay.giver._quieten = quieten  # type: ignore[method-assign]
+    relay.handover_sender._quieten = quieten  # type: ignore[method-assign]
     door = Door(field.state)
     channel = await asyncio.to_thread(door.call)
     assert channel is not None
