--- a/garnetrelay/cli/upgrade.py
+++ b/garnetrelay/cli/upgrade.py
@@ -14,7 +14,7 @@
 
 from garnetrelay.cli.operators import AddressType, ask
 from garnetrelay.config.deployment import Address
-from garnetrelay.upgrade.channel import Door
+from garnetrelay.handover.channel import Door
 
 LOOK_EVERY = 0.05  # seconds
 TERM_TIME = 3.7  # seconds from SIGTERM until the old process must be gone
@@ -45,6 +45,7 @@
 
 
 def healthy(address: Address) -> bool:
+    """Whether the relay whose staff address this is answers HEALTH with ``+OK`` within a second."""
     try:
         return ask(address, "HEALTH", 1.0).startswith("+OK")
     except OSError:
--- a/garnetrelay/upgrade/channel.py
+++ b/garnetrelay/handover/channel.py
@@ -13,7 +13,7 @@
 import struct
 from pathlib import Path
 
-from garnetrelay.upgrade.protocol import HEAD, Frame, ProtocolError, decode, encode, lengths
+from garnetrelay.handover.protocol import HEAD, Frame, ProtocolError, decode, encode, lengths
 
 NAME = "upgrade"
 FRAME_TIME = 2.0  # seconds in which a frame goes or comes whole
@@ -83,6 +83,7 @@
         return bytes(data)
 
     def close(self) -> None:
+        """Close the socket; descriptors that were received stay open."""
         self.socket.close()
 
 
@@ -129,6 +130,7 @@
         return channel
 
     def close(self) -> None:
+        """Stop listening; the folder's socket stays for whoever listens next."""
         if self.listener is not None:
             self.listener.close()
         os.close(self._folder)
--- a/garnetrelay/upgrade/protocol.py
+++ b/garnetrelay/handover/protocol.py
@@ -184,7 +184,7 @@
 
 
 @dataclass(slots=True)
-class Giving:
+class SenderState:
     """The old process's side: told what happens, it says whose the relay is and what to do."""
 
     owner: Owner = Owner.OLD
@@ -201,10 +201,12 @@
         return Step.WAIT
 
     def on_taken(self) -> Step:
+        """The new process serves: only staff's calls are left to this one."""
         self.taken = True
         return Step.ANSWER_STAFF
 
     def on_bye(self) -> Step:
+        """The new process stops as it was told to: this one may end."""
         self.over = True
         return Step.END
 
@@ -235,7 +237,7 @@
 
 
 @dataclass(slots=True)
-class Taking:
+class ReceiverState:
     """The new process's side. What has come before END is not ours: the old process may still be the owner, or
     nobody, and then the folder is."""
 
--- a/garnetrelay/upgrade/give.py
+++ b/garnetrelay/handover/sender.py
@@ -13,8 +13,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, TypeVar
 
-from garnetrelay.upgrade import protocol as p
-from garnetrelay.upgrade.channel import Channel, ChannelError, Door
+from garnetrelay.handover import protocol as p
+from garnetrelay.handover.channel import Channel, ChannelError, Door
 from starlingwick import interface as io
 from starlingwick.hold import NEVER
 from starlingwick.memory import remember
@@ -22,7 +22,8 @@
 if TYPE_CHECKING:
     from garnetrelay.delivery.http import hosts as net
     from garnetrelay.fronts.resp import server as front
-    from garnetrelay.relay import Held, Relay
+    from garnetrelay.handover.interface import PassingRelay
+    from garnetrelay.pending import PendingMessage
 
 log = logging.getLogger(__name__)
 
@@ -54,13 +55,13 @@
     os.execv(sys.executable, sys.orig_argv)
 
 
-class Giver:
+class HandoverSender:
     """Waits for a new process, and gives it the relay."""
 
-    def __init__(self, relay: Relay) -> None:
+    def __init__(self, relay: PassingRelay) -> None:
         self.relay = relay
         self.loop = asyncio.get_running_loop()
-        self.state = p.Giving()
+        self.state = p.SenderState()
         self.channel: Channel | None = None
         self.task: asyncio.Task[None] | None = None
         self.start_anew = start_anew
@@ -68,7 +69,13 @@
         self.listener = self.door.listen()
         self.loop.add_reader(self.listener, self._accept)
 
+    @property
+    def passed(self) -> bool:
+        """Whether the relay is the new process's."""
+        return self.state.owner is p.Owner.NEW
+
     def close(self) -> None:
+        """Stop listening for a new process; a handover under way is broken off."""
         self.loop.remove_reader(self.listener)
         self.door.close()
         if self.task is not None:
@@ -90,7 +97,7 @@
         self.task = None
         if not task.cancelled() and (error := task.exception()) is not None:
             log.error("upgrade failed", exc_info=error)
-            if self.state.owner is p.Owner.NEW:
+            if self.passed:
                 self._follow(self.state.lost())
 
     # ---- up to the freeze
@@ -193,8 +200,8 @@
     def _give(self, channel: Channel, listener: socket.socket) -> p.Step:
         relay = self.relay
         step = self.state.given()
-        if relay.hearing is not None:
-            relay.hearing.bye()  # the process before this one must not take its end for a death
+        if relay.predecessor is not None:
+            relay.predecessor.bye()  # the process before this one must not take its end for a death
         relay.retire()
         claim = relay.journal.hand_over()
         try:
@@ -350,13 +357,13 @@
     return [connection.descriptor for connection in connections]
 
 
-def _out(messages: Iterable[Held]) -> Iterator[tuple[Held, net.Exchange]]:
+def _out(messages: Iterable[PendingMessage]) -> Iterator[tuple[PendingMessage, net.Exchange]]:
     for message in list(messages):
         if message.exchange is not None:
             yield message, message.exchange
 
 
-def _passing(messages: Iterable[Held]) -> Iterator[tuple[Held, net.Exchange, net.Connection]]:
+def _passing(messages: Iterable[PendingMessage]) -> Iterator[tuple[PendingMessage, net.Exchange, net.Connection]]:
     """Calls that pass. That of a message which has ended meanwhile is not waited for: its connection closes."""
     for message, exchange in _out(messages):
         if not message.over and exchange.connection is not None and exchange.connection.can_pass:
--- a/garnetrelay/untried.py
+++ b/garnetrelay/recovery_stats.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 
-class Untried:
+class RecoveryStats:
     """Messages with no attempt on record at the start, until each is tried or ended."""
 
     __slots__ = ("_left", "found", "tried", "late", "early")
@@ -25,6 +25,7 @@
         return len(self._left)
 
     def find(self, ref: str) -> None:
+        """A message was picked up that has no attempt on record."""
         self.found += 1
         self._left.add(ref)
 
--- a/garnetrelay/rehearsal/rude.py
+++ b/garnetrelay/rehearsal/misbehaving_clients.py
@@ -30,7 +30,7 @@
     )
 
 
-class Rude:
+class MisbehavingClients:
     """So many bad clients at once, each coming again as soon as it is turned away, until a time."""
 
     def __init__(self, port: int, count: int, seed: str) -> None:
@@ -41,6 +41,7 @@
         self.left_waiting = 0  # with neither error nor close
 
     async def run(self, seconds: float) -> None:
+        """Open and misuse connections for so many seconds, ``count`` at a time."""
         ends = asyncio.get_running_loop().time() + seconds
         async with asyncio.TaskGroup() as group:
             for _ in range(self.count):
--- a/garnetrelay/rehearsal/report/machine.py
+++ b/garnetrelay/rehearsal/report/machine.py
@@ -33,11 +33,12 @@
         **outcome.tally.summary(),
         **({"fleet": msgspec.to_builtins(outcome.fleet)} if outcome.fleet else {}),
         "bad clients": {
-            "tried": sum(rude.tried for rude in outcome.rude),
-            "left with neither error nor close": sum(rude.left_waiting for rude in outcome.rude),
+            "tried": sum(clients.tried for clients in outcome.misbehaving),
+            "left with neither error nor close": sum(clients.left_waiting for clients in outcome.misbehaving),
         },
     }
 
 
 def write(outcome: Outcome, path: Path) -> None:
+    """Write an outcome to a file, as indented JSON."""
     path.write_bytes(msgspec.json.format(msgspec.json.encode(report(outcome)), indent=1) + b"\n")
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -17,28 +17,29 @@
 from typing import TYPE_CHECKING
 
 from garnetrelay.config.deployment import Address, Config
-from garnetrelay.counts import Counts
+from garnetrelay.counters import Counters
 from garnetrelay.delivery.http import hosts as net
 from garnetrelay.delivery.http.answers import Outcome
 from garnetrelay.fronts.resp.server import Rejected, Reply, Request, Server
-from garnetrelay.lag import Lag
-from garnetrelay.looks import PAUSE, after_a_look
+from garnetrelay.loop_lag import LoopLag
 from garnetrelay.membership.register import Discovery, News, Reader
+from garnetrelay.pending import PendingMessage
 from garnetrelay.platform.notices import Notices
+from garnetrelay.recovery_stats import RecoveryStats
+from garnetrelay.socket_poll import POLL_AFTER, after_socket_poll
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
-from garnetrelay.untried import Untried
 from starlingwick import interface as io
 from starlingwick.control import MAY_HAVE_RUN, Pacer
 
 if TYPE_CHECKING:
     from garnetrelay.fleet.service import Fleet
+    from garnetrelay.handover.protocol import State
+    from garnetrelay.handover.receiver import Inheritance, PredecessorLink
+    from garnetrelay.handover.sender import HandoverSender
     from garnetrelay.operators.service import Operators
     from garnetrelay.store.ahead import Ahead
     from garnetrelay.store.durability import Syncing
-    from garnetrelay.upgrade.give import Giver
-    from garnetrelay.upgrade.protocol import State
-    from garnetrelay.upgrade.take import Hearing, Inheritance
 
 log = logging.getLogger(__name__)
 
@@ -56,22 +57,6 @@
 LAST_RECORD = SECOND // 2  # behind STOP_AFTER, for records that answers wait for: still ahead of SIGKILL
 
 
-@dataclass(slots=True, eq=False)
-class Held:
-    """A message in our hands, until its end is told and its last attempt has an outcome."""
-
-    ref: str
-    klass: str
-    key: str | None
-    body: bytes
-    ends_at: int  # monotonic clock, nanoseconds: an answer behind that is none
-    attempts: int = 0
-    exchange: net.Exchange | None = None
-    over: bool = False
-    sent_at: int = 0  # of the last attempt, monotonic clock
-    zone: int = -1  # the same: its host's
-
-
 @dataclass(slots=True)
 class Newcomer:
     """A message whose client waits to hear whether it is taken on."""
@@ -87,7 +72,7 @@
     """One call with a message: what goes on record of it, and what the Pacer hears."""
 
     relay: Relay
-    message: Held
+    message: PendingMessage
     host: str
     number: int
     started: int  # monotonic clock, as is the next
@@ -95,6 +80,7 @@
     written: bool = False  # it is on record
 
     def exchange(self) -> net.Exchange:
+        """The exchange that carries this attempt out."""
         return net.Exchange(self.host, self.stop_at, self.prepare, self.done, self.still_clear, self.message.ref)
 
     def prepare(self, address: Address) -> bytes | None:
@@ -104,15 +90,17 @@
         message, zones = self.message, self.relay.config.zone_names
         name = zones[message.zone] if 0 <= message.zone < len(zones) else ""
         self.written = self.relay.journal.trying(message.ref, name, time.time_ns() // MS)
-        if self.written and self.relay.untried.on_try(message.ref):
-            log.info("%s", self.relay.untried)
+        if self.written and self.relay.recovery_stats.on_try(message.ref):
+            log.info("%s", self.relay.recovery_stats)
         return net.call(address, message.ref, message.key, message.body, self.stop_at) if self.written else None
 
     def still_clear(self) -> bool:
+        """The last look: whether the call may still begin, by its time and by the Pacer."""
         now = time.monotonic_ns()
         return now < self.stop_at and self.relay.pacer.clear_to_send(now, self.message.ref, self.host)
 
     def done(self, outcome: Outcome) -> None:
+        """What became of it: on record, then with the Pacer."""
         relay, message = self.relay, self.message
         message.exchange = None
         log.debug("attempt %s %d at %s: %s", message.ref, self.number, self.host, outcome)
@@ -162,21 +150,21 @@
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
         self.listed: dict[str, io.HostEntry] = {}  # by host
         self.gone: dict[str, None] = {}  # hosts that were listed, the latest last
-        self.counts = Counts(config.class_names)
+        self.counts = Counters(config.class_names)
         self.operators: Operators | None = None
         self.fleet: Fleet | None = None
-        self.giver: Giver | None = None
-        self.hearing: Hearing | None = None
+        self.handover_sender: HandoverSender | None = None
+        self.predecessor: PredecessorLink | None = None
         self.dests: set[int] = set()  # all that the list has ever named
-        self.held: dict[str, Held] = {}
-        self.untried = Untried()
+        self.held: dict[str, PendingMessage] = {}
+        self.recovery_stats = RecoveryStats()
         self.recovering: deque[Entry] = deque()  # picked up, and not yet with the Pacer
         self.newcomers: dict[str, Newcomer] = {}
         self.inbox: list[io.Event] = []
         self.turn_due = False
         self.looked_at = 0  # when the last batch began
         self.flush_due = False
-        self.lag = Lag()
+        self.lag = LoopLag()
         self.alarm: asyncio.TimerHandle | None = None
         self.ends: list[tuple[str, str, int]] = []  # of this turn: what the platform is told of each
         self.unreleased = 0  # turns whose records are on their way to the disk
@@ -251,14 +239,14 @@
         self.serving = True
         self._recover_slice()
         if self.config.operators is not None:
-            from garnetrelay.upgrade.give import Giver  # staff may upgrade it
+            from garnetrelay.handover.sender import HandoverSender  # staff may upgrade it
 
-            self.giver = Giver(self)
+            self.handover_sender = HandoverSender(self)
         if self.inheritance is not None:
-            from garnetrelay.upgrade.take import Hearing
+            from garnetrelay.handover.receiver import PredecessorLink
 
             self.inheritance.taken()
-            self.hearing = Hearing(self.inheritance.channel, self._exclude_as_told)
+            self.predecessor = PredecessorLink(self.inheritance.channel, self._exclude_as_told)
             self.inheritance = None
         return address
 
@@ -285,8 +273,8 @@
         if self.stopping or self.closed:
             return
         self.stopping = True
-        if self.hearing is not None:
-            self.hearing.bye()
+        if self.predecessor is not None:
+            self.predecessor.bye()
         log.info("stopping: %d messages held", len(self.held))
         at = time.monotonic_ns() + STOP_AFTER
         self.post(io.Stopping(at))
@@ -343,18 +331,49 @@
             self.fleet.close()
 
     def close(self) -> None:
-        if self.untried.left:
-            log.info("%s", self.untried)
+        """End at once: what is held waits in the journal."""
+        if self.recovery_stats.left:
+            log.info("%s", self.recovery_stats)
         if self.fleet is not None and self.stopping:
             self.fleet.leave()
         self.retire()
         if self.operators is not None:
             self.operators.close()
-        if self.giver is not None:
-            self.giver.close()
+        if self.handover_sender is not None:
+            self.handover_sender.close()
         self.hosts.close()
         self.journal.close()
 
+    # ---- what staff ask (``operators.service.OperatedRelay``)
+
+    def draining(self) -> bool:
+        """Whether the listener closes what clients have open, to end."""
+        return self.server.draining
+
+    def successor(self) -> HandoverSender | None:
+        """The handover's sender once the relay has passed to another process; None before."""
+        return self.handover_sender if self.handover_sender is not None and self.handover_sender.passed else None
+
+    def in_flight(self) -> int:
+        """How many messages are taken on and not ended."""
+        return sum(not message.over for message in self.held.values()) + len(self.recovering)
+
+    def calls_written(self) -> int:
+        """How many calls were written whole to hosts since the start."""
+        return self.hosts.calls_written
+
+    def hosts_known(self) -> int:
+        """How many hosts the list names."""
+        return len(self.listed)
+
+    def hosts_avoided(self) -> int:
+        """How many listed hosts get no calls now."""
+        return self.pacer.avoided()
+
+    def knows_host(self, host: str) -> bool:
+        """Whether the list names a host, or has named it."""
+        return host in self.listed or host in self.gone
+
     # ---- the start
 
     def _read_known(self) -> None:
@@ -401,12 +420,12 @@
 
     def _exclude_as_told(self, host: str, out: bool) -> str:
         """Staff called the process before; why it can't be done, or nothing."""
-        from garnetrelay.operators.calls import Refused
+        from garnetrelay.operators.calls import CallRefusedError
 
         assert self.operators is not None
         try:
             self.operators.exclude(host, out)
-        except Refused as refused:
+        except CallRefusedError as refused:
             return str(refused)
         return ""
 
@@ -445,9 +464,9 @@
         now_ms = time.time_ns() // MS
         for entry in entries:
             if not entry.attempts:
-                self.untried.find(entry.ref)
+                self.recovery_stats.find(entry.ref)
             ends_at = time.monotonic_ns() + (entry.deadline - now_ms) * MS
-            self.held[entry.ref] = Held(entry.ref, entry.klass, entry.key, entry.body, ends_at, entry.attempts)
+            self.held[entry.ref] = PendingMessage(entry.ref, entry.klass, entry.key, entry.body, ends_at, entry.attempts)
             self.post(self._recovered(entry, now_ms))
 
     def _recovered(self, entry: Entry, now_ms: int) -> io.Recovered:
@@ -516,6 +535,7 @@
         )
 
     def on_news(self, news: News | None) -> None:
+        """The list of hosts has changed; None: the watch has failed."""
         if news is None:
             self.post(io.Roster(io.ListScope.FAILED, ()))
             return
@@ -561,8 +581,8 @@
 
     def _turn_soon(self) -> None:
         """The turn; but where this process did not run since it last read, what has come meanwhile is read first."""
-        if time.monotonic_ns() - self.looked_at > PAUSE:
-            after_a_look(self.turn)
+        if time.monotonic_ns() - self.looked_at > POLL_AFTER:
+            after_socket_poll(self.turn)
         else:
             self.turn()
 
@@ -646,7 +666,7 @@
                 self.post(io.Withdrawn(ref))
                 continue
             self.journal.taken(Entry(ref, request.klass, request.dest, request.key, newcomer.deadline, request.body))
-            self.held[ref] = Held(ref, request.klass, request.key, request.body, newcomer.ends_at)
+            self.held[ref] = PendingMessage(ref, request.klass, request.key, request.body, newcomer.ends_at)
             noted.append(newcomer)
         return noted
 
@@ -704,8 +724,8 @@
     def _ring(self, at: int, token: int) -> None:
         now = time.monotonic_ns()
         self.lag.was_late(at, now)
-        if now - self.looked_at > PAUSE:
-            after_a_look(self.post, io.Alarm(token))
+        if now - self.looked_at > POLL_AFTER:
+            after_socket_poll(self.post, io.Alarm(token))
         else:
             self.post(io.Alarm(token))
 
@@ -753,13 +773,13 @@
             self.journal.ended(ref, result, wait_ms)
             self.ends.append((ref, result, wait_ms))
 
-    def finish(self, message: Held, result: str | None, wait_ms: int, tell: str | None = None) -> None:
+    def finish(self, message: PendingMessage, result: str | None, wait_ms: int, tell: str | None = None) -> None:
         """A message has ended with a result, None: delivered. ``tell``: what the platform hears even so."""
         if message.over:
             return
         message.over = True
-        if self.untried.on_end(message.ref, time.monotonic_ns() >= message.ends_at - NEAR_END):
-            log.info("%s", self.untried)
+        if self.recovery_stats.on_end(message.ref, time.monotonic_ns() >= message.ends_at - NEAR_END):
+            log.info("%s", self.recovery_stats)
         by_class = (
             self.counts.served if result is None else (self.counts.failed if result == "dead" else self.counts.refused)
         )
--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -8,10 +8,10 @@
 import pytest
 
 from garnetrelay.operators import exclusions
-from garnetrelay.operators.calls import Refused
+from garnetrelay.operators.calls import CallRefusedError
 from garnetrelay.operators.exclusions import Exclusions
 from garnetrelay.operators.front import MOST_CALLERS
-from garnetrelay.rehearsal.scripted import PATIENCE
+from garnetrelay.rehearsal.scripted_peers import PATIENCE
 from starlingwick import interface as io
 from starlingwick.control import Pacer
 from tests.helpers import S, settings
@@ -112,7 +112,7 @@
     again = Exclusions(tmp_path, False)
     again.read()
     assert list(again.names) == ["s-1"] and again.put("s-2", True)
-    with pytest.raises(Refused):
+    with pytest.raises(CallRefusedError):
         for n in range(1000):
             again.put(f"{n:0200}", True)
     assert path.stat().st_size <= exclusions.MOST_BYTES
