Members: a zone in each claim, and one read of the view for other parts

Need: partitions and leases place owners by zone, and have no narrow way to ask the membership who is there.

Change: a claim has an optional last field `zone` (0 to 255, 0: not known). Relays of before leave it out and skip it; where one of them passes a claim on, the zone that is known holds. `[fleet] zone = N` sets it, `fleet members` shows it, and an upgrade that changes it takes the next incarnation, so that it holds everywhere. `Members.view_of_members()` (and the same on `Fleet`) gives a `FleetView`: names to zones, condition with what may be relied on, view.

Planted: without the zone in the order of equal words, and without the next incarnation, the property test and the upgrade test fail.

--- a/garnetrelay/cli/fleet.py
+++ b/garnetrelay/cli/fleet.py
@@ -42,11 +42,12 @@
         f"oldest word {_seconds(own.oldest_word)} s (at most {own.word_bound:.1f} where links are whole)"
     )
     click.echo(f"to be relied on: {own.relies}")
-    table = Table("member", "life", "status", "for s", "word s", "view", "at", "by", "link", box=None)
+    table = Table("member", "zone", "life", "status", "for s", "word s", "view", "at", "by", "link", box=None)
     for line in lines[1:]:
         each: Line = msgspec.json.decode(line, type=Line)
         table.add_row(
             each.name,
+            str(each.zone or "-"),
             str(each.life),
             each.status,
             f"{each.since:.1f}",
--- a/garnetrelay/config/fleet.py
+++ b/garnetrelay/config/fleet.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Meta
 
-from garnetrelay.fleet.members.claims import MOST_NAME, Place
+from garnetrelay.fleet.members.claims import MOST_NAME, UNKNOWN_ZONE, Place, Zone
 from garnetrelay.fleet.members.frames import LEAST_SECRET
 from garnetrelay.fleet.members.settings import MS, SECOND, Settings
 
@@ -31,6 +31,7 @@
     forget_s: Annotated[int, Meta(ge=1, le=86_400)] = 600
     most_members: Annotated[int, Meta(ge=2, le=1000)] = 1000
     frames: Literal[1, 2] = 2  # the highest version that is spoken: 1 while relays of before are in the fleet
+    zone: Zone = UNKNOWN_ZONE  # where this relay stands, 1 to 255; 0: not said
 
 
 class Fleet(msgspec.Struct, frozen=True):
@@ -41,6 +42,7 @@
     seeds: tuple[Place, ...]
     secret_file: Path
     settings: Settings
+    zone: int = UNKNOWN_ZONE
 
     def secrets(self) -> list[bytes]:
         """What the file has now; ValueError in one line."""
@@ -89,6 +91,7 @@
             exchange_every=30 * table.probe_every_ms * MS,
             versions=table.frames,
         ),
+        table.zone,
     )
 
 
--- a/garnetrelay/fleet/members/claims.py
+++ b/garnetrelay/fleet/members/claims.py
@@ -22,6 +22,8 @@
 MOST_LIFE = (1 << 40) - 1
 MOST_INCARNATION = (1 << 31) - 1
 MOST_NAME = 64  # bytes: names are printable ASCII
+MOST_ZONE = 255  # one byte or two on the wire
+UNKNOWN_ZONE = 0
 
 Name = Annotated[str, Meta(min_length=1, max_length=MOST_NAME, pattern="^[!-~]+$")]
 NameOrNone = Annotated[str, Meta(max_length=MOST_NAME, pattern="^[!-~]*$")]
@@ -31,6 +33,7 @@
 Host = Annotated[str, Meta(min_length=1, max_length=45, pattern="^[0-9a-fA-F.:]+$")]
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Speaks = Annotated[int, Meta(ge=1, le=255)]
+Zone = Annotated[int, Meta(ge=UNKNOWN_ZONE, le=MOST_ZONE)]
 
 
 class Status(IntEnum):
@@ -75,6 +78,8 @@
     port: Port
     speaks: Speaks  # the highest version of frames that it reads
     by: NameOrNone = ""  # who judged; empty where the member itself speaks
+    # Last, with a default: relays of before leave it out, and skip it where they read it.
+    zone: Zone = UNKNOWN_ZONE  # where it stands: machines of one zone may fail together
 
     @property
     def identity(self) -> Identity:
--- a/garnetrelay/fleet/members/holding.py
+++ b/garnetrelay/fleet/members/holding.py
@@ -197,6 +197,8 @@
                 self._note(f"{claim.said()}")
             elif held.status is Status.SUSPECT:
                 self._note(f"{claim.said()}: it has spoken up, {held.by} had suspected it")
+            elif (claim.place, claim.zone) != (held.place, held.zone):
+                self._note(f"{claim.said()}, now at {claim.place}, zone {claim.zone or 'not known'}")
         elif claim.final:
             if claim.by != self.name:
                 self._note(f"{claim.said()}", logging.WARNING if claim.status is Status.FAILED else logging.INFO)
--- a/garnetrelay/fleet/members/protocol.py
+++ b/garnetrelay/fleet/members/protocol.py
@@ -26,6 +26,7 @@
 from garnetrelay.fleet.members.rounds import Probe, Rounds
 from garnetrelay.fleet.members.settings import MS, Settings
 from garnetrelay.fleet.members.table import Member, Path, Table
+from garnetrelay.fleet.members.view import FleetView
 
 LEAVE_TOLD = 8  # members that hear of a leaving at first hand
 FIXED = 96  # bytes of a frame besides its sender's claim, its claims and its words, at most
@@ -105,6 +106,14 @@
     def condition(self) -> Condition:
         return self.doubt.condition
 
+    def view_of_members(self) -> FleetView:
+        """The members of this view with their zones, and what may be relied on. It walks over all members: ask when
+        ``view`` or ``condition`` has changed, or once a period."""
+        zones = {name: member.claim.zone for name, member in self.table.members.items()}
+        if self.own.named:
+            zones[self.own.claim.name] = self.own.claim.zone
+        return FleetView(zones, self.condition, self.view)
+
     def age(self, name: str, now: int) -> int | None:
         """How old the word of a member is at most (nanoseconds); None where there is none, or it is gone."""
         member = self.table.members.get(name)
--- a/garnetrelay/fleet/members/table.py
+++ b/garnetrelay/fleet/members/table.py
@@ -111,8 +111,9 @@
         if claim.rank < held.rank:
             return Change.NOTHING
         if claim.rank == held.rank:
-            # Addresses may differ where the process number does not: one of them holds everywhere.
-            if (claim.host, claim.port, claim.speaks) > (held.host, held.port, held.speaks):
+            # Addresses may differ where the process number does not: one of them holds everywhere. A zone is lost where
+            # a relay of before passes a claim on: the one that knows it holds.
+            if (claim.host, claim.port, claim.speaks, claim.zone) > (held.host, held.port, held.speaks, held.zone):
                 member.claim = claim
             if (
                 claim.status is Status.SUSPECT
--- a/garnetrelay/fleet/service.py
+++ b/garnetrelay/fleet/service.py
@@ -18,9 +18,10 @@
 from garnetrelay.fleet import words
 from garnetrelay.fleet.life import MOST_PLACES, LifeFile
 from garnetrelay.fleet.members import frames as fr
-from garnetrelay.fleet.members.claims import Claim, Place, Status
+from garnetrelay.fleet.members.claims import MOST_INCARNATION, Claim, Place, Status
 from garnetrelay.fleet.members.effects import Effect, Exchange, KeepLife, Note, Tell
 from garnetrelay.fleet.members.protocol import Members
+from garnetrelay.fleet.members.view import FleetView
 from garnetrelay.fleet.transport import EXCHANGE_TIME, Stream, Transport
 
 log = logging.getLogger(__name__)
@@ -37,6 +38,17 @@
     claims: list[Claim]
 
 
+def _as_configured(own: Claim, place: Place, config: FleetConfig) -> Claim:
+    """A member's claim in the process that goes on as it. What the new options change takes the next incarnation, so that
+    it holds everywhere over the claim of before."""
+    now = msgspec.structs.replace(
+        own, host=place.host, port=place.port, speaks=config.settings.versions, zone=config.zone
+    )
+    if now == own or own.incarnation >= MOST_INCARNATION:
+        return now
+    return msgspec.structs.replace(now, incarnation=own.incarnation + 1)
+
+
 class Fleet:
     """A member."""
 
@@ -76,13 +88,12 @@
                 place.host,
                 place.port,
                 self.config.settings.versions,
+                zone=self.config.zone,
             )
             self.members = Members(own, self.config.settings, random.Random(secrets.randbits(64)), now, seeds)
         else:
             passed = self._passed
-            own = msgspec.structs.replace(
-                passed.own, host=place.host, port=place.port, speaks=self.config.settings.versions
-            )
+            own = _as_configured(passed.own, place, self.config)
             self.members = Members(
                 own, self.config.settings, random.Random(secrets.randbits(64)), now, seeds, passed.sequence + AHEAD
             )
@@ -122,6 +133,11 @@
         else:
             log.info("fleet: %d secrets read", len(self.transport.codec.good))
 
+    def view_of_members(self) -> FleetView:
+        """Who is there, in which zone, and what may be relied on: the read for other parts of the relay."""
+        assert self.members is not None
+        return self.members.view_of_members()
+
     # ---- staff
 
     def listing(self) -> str:
--- a/garnetrelay/fleet/words.py
+++ b/garnetrelay/fleet/words.py
@@ -27,6 +27,7 @@
     path: str
     by: str
     since: float  # this status
+    zone: int = 0  # 0: not known
 
 
 class State(msgspec.Struct, frozen=True):
@@ -45,6 +46,7 @@
     oldest_word: float | None
     word_bound: float  # what that age may reach where links are whole
     slow: int
+    zone: int = 0  # 0: not known
 
 
 def state(members: Members, now: int) -> State:
@@ -67,6 +69,7 @@
         None if oldest is None else round(oldest, 3),
         members.settings.word_bound(members.count) / 1e9,
         members.slow,
+        own.zone,
     )
 
 
@@ -90,6 +93,7 @@
         "" if member.path is Path.WHOLE else member.path.value,
         claim.by,
         round((now - member.changed_at) / 1e9, 3),
+        claim.zone,
     )
 
 
--- a/garnetrelay/laboratory/hostile.py
+++ b/garnetrelay/laboratory/hostile.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from garnetrelay.fleet.members import frames as fr
-from garnetrelay.fleet.members.claims import MOST_INCARNATION, MOST_LIFE, Claim, Place, Status
+from garnetrelay.fleet.members.claims import MOST_INCARNATION, MOST_LIFE, MOST_ZONE, Claim, Place, Status
 
 STRANGER = Place("10.9.9.9", 9)
 
@@ -36,7 +36,7 @@
         """A number or a text that is out of bounds, in an otherwise good frame."""
         whole = fields(draw.choice(cut))
         sender = whole[1]
-        what = draw.randrange(12)
+        what = draw.randrange(13)
         if what == 0:
             sender[1] = MOST_LIFE + 1
         elif what == 1:
@@ -61,8 +61,10 @@
             sender[3] = sender[1] + 1  # born after its life
         elif what == 10:
             sender[5] = int(draw.choice((Status.FAILED, Status.LEFT, Status.SUSPECT)))  # of itself
-        else:
+        elif what == 11:
             whole[6] = b"12345"  # words of no whole number
+        else:
+            sender[10] = MOST_ZONE + 1
         return codec.sign(msgspec.msgpack.encode(whole), 2)
 
     def shortened() -> bytes:
--- a/garnetrelay/laboratory/world.py
+++ b/garnetrelay/laboratory/world.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, field
 
 from garnetrelay.fleet.members import frames as fr
-from garnetrelay.fleet.members.claims import Claim, Identity, Place, Status
+from garnetrelay.fleet.members.claims import UNKNOWN_ZONE, Claim, Identity, Place, Status
 from garnetrelay.fleet.members.effects import Effect, Exchange, KeepLife, Note, Tell
 from garnetrelay.fleet.members.protocol import Members
 from garnetrelay.fleet.members.settings import MS, SECOND, Settings
@@ -76,6 +76,7 @@
         base: Fate | None = None,
         seeds: int = 3,
         versions: Callable[[int], int] = lambda number: 2,
+        zones: Callable[[int], int] = lambda number: UNKNOWN_ZONE,
         keep_notes: bool = False,
     ) -> None:
         self.settings = settings
@@ -89,6 +90,7 @@
         self.by_place = {node.place: node for node in self.nodes.values()}
         self.seeds = [node.place for node in itertools.islice(self.nodes.values(), seeds)]
         self.versions = versions
+        self.zones = zones
         self.notes: list[Seen] = []
         self.keep_notes = keep_notes
         self.failures: list[tuple[int, str, str, Identity, bool]] = []  # at, by, whom, its life, whether it was there
@@ -139,6 +141,7 @@
             node.place.host,
             node.place.port,
             settings.versions,
+            zone=self.zones(int(name[1:])),
         )
         draw = random.Random(f"{self._seed}/{name}/{node.process}")
         node.members = Members(claim, settings, draw, self.now, self.seeds)
--- a/tests/fleet/test_frames.py
+++ b/tests/fleet/test_frames.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -15,7 +16,7 @@
 from garnetrelay.laboratory import hostile
 from garnetrelay.laboratory.world import Node, World
 
-CLAIM = Claim("n1", 3, 77, 3, 0, Status.ALIVE, "10.0.0.1", 7946, 2)
+CLAIM = Claim("n1", 3, 77, 3, 0, Status.ALIVE, "10.0.0.1", 7946, 2, zone=6)
 NEW, OLD = b"the secret from now on", b"the secret of before"
 
 
@@ -57,6 +58,42 @@
     assert data[2] == 1 and codec.decode(data) == ping()
 
 
+class ClaimOfBefore(msgspec.Struct, array_like=True, frozen=True):
+    """As a relay of before zones reads and writes it."""
+
+    name: str
+    life: int
+    process: int
+    born: int
+    incarnation: int
+    status: Status
+    host: str
+    port: int
+    speaks: int
+    by: str = ""
+
+
+@pytest.mark.parametrize("version", fr.VERSIONS)
+def test_relays_of_before_zones_are_read_and_read_claims_with_a_zone(version: int) -> None:
+    codec = fr.Codec([NEW])
+    body = codec.encode(ping(claims=[CLAIM]), version)[fr.HEAD :]
+    kind, sender, *rest = msgspec.msgpack.decode(body)
+    before: ClaimOfBefore = msgspec.msgpack.decode(msgspec.msgpack.encode(sender), type=ClaimOfBefore)
+    assert sender[-1] == 6 and before == ClaimOfBefore("n1", 3, 77, 3, 0, Status.ALIVE, "10.0.0.1", 7946, 2)
+
+    old = msgspec.msgpack.decode(msgspec.msgpack.encode(before))
+    frame = codec.decode(codec.sign(msgspec.msgpack.encode([kind, old, *rest[:2], [old]]), version))
+    unknown = msgspec.structs.replace(CLAIM, zone=0)
+    assert frame == fr.Ping(sender=unknown, sequence=1, number=2, claims=[unknown])
+
+
+@pytest.mark.parametrize("zone", [-1, 256, "one", None])
+def test_a_zone_out_of_bounds_is_refused(zone: object) -> None:
+    codec = fr.Codec([NEW])
+    kind, sender, *rest = msgspec.msgpack.decode(codec.encode(ping(), 2)[fr.HEAD :])
+    assert cause(codec, codec.sign(msgspec.msgpack.encode([kind, [*sender[:-1], zone], *rest]), 2)) == "malformed"
+
+
 def test_both_secrets_are_good_during_a_change_and_the_first_signs() -> None:
     before, during, after = fr.Codec([OLD]), fr.Codec([NEW, OLD]), fr.Codec([NEW])
     assert during.decode(before.encode(ping(), 2)) == ping() == after.decode(during.encode(ping(), 2))
@@ -88,6 +125,7 @@
             65535,
             255,
             "b" * 64,
+            255,
         ),
     )
     one, two = (len(codec.encode(ping(claims=[longest] * count), 2)) for count in (1, 2))
--- a/tests/fleet/test_life_and_options.py
+++ b/tests/fleet/test_life_and_options.py
@@ -67,6 +67,9 @@
         ('seeds = ["0.0.0.0:1"]', "fleet.seeds: nobody can be reached at '0.0.0.0:1'"),
         ('advertise = "10.0.0.1:0"', "fleet.advertise: '10.0.0.1:0' is not IP:port"),
         ("suspicion = 0.5", "suspicion"),
+        ("zone = 256", "zone"),
+        ("zone = -1", "zone"),
+        ('zone = "b"', "zone"),
     ],
 )
 def test_a_mistake_in_the_table_is_one_plain_line(tmp_path: Path, more: str, said: str) -> None:
@@ -94,7 +97,9 @@
 
 def test_a_good_table_is_read(tmp_path: Path) -> None:
     (tmp_path / "secret").write_text(SECRET)
-    (tmp_path / "options.toml").write_text(f'[fleet]\n{GOOD}seeds = ["[::1]:7946", "10.0.0.2:7946"]\nframes = 1\n')
+    (tmp_path / "options.toml").write_text(
+        f'[fleet]\n{GOOD}seeds = ["[::1]:7946", "10.0.0.2:7946"]\nframes = 1\nzone = 6\n'
+    )
     found = options.read(tmp_path / "options.toml", "r1")[1]
     assert found is not None and found.seeds == (Place("::1", 7946), Place("10.0.0.2", 7946))
-    assert found.settings.versions == 1 and found.secrets() == [SECRET.strip().encode()]
+    assert found.zone == 6 and found.settings.versions == 1 and found.secrets() == [SECRET.strip().encode()]
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -29,6 +29,7 @@
     st.integers(1, 2),
     st.just(2),
     st.sampled_from(["", "x", "y"]),
+    st.integers(0, 2),
 )
 
 
@@ -42,8 +43,8 @@
     for claim in again:
         other.take(claim, 0)
     assert one.print == other.print
-    assert {(member.claim.name, member.claim.rank) for member in one} == {
-        (member.claim.name, member.claim.rank) for member in other
+    assert {(member.claim.name, member.claim.rank, member.claim.zone) for member in one} == {
+        (member.claim.name, member.claim.rank, member.claim.zone) for member in other
     }
 
 
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -103,9 +103,12 @@
 async def test_an_upgrade_and_a_change_of_secrets_are_no_failure(tmp_path: Path) -> None:
     async with Fleet(tmp_path, 3) as fleet:
         fleet.relays["r3"].options += "frames = 1\n"
+        fleet.relays["r2"].options += "zone = 4\n"
         await fleet.start()
         r1, r2, r3 = fleet.relays.values()
+        assert (await r1.members())[1]["r2"].zone == 4
         old = r2.process
+        r2.options = r2.options.replace("zone = 4", "zone = 3")
         await r2.upgrade()
         assert old is not r2.process and old is not None and old.returncode == 0
         # For a moment neither process hears: that may be longer than a period here, and raises a suspicion. The new one
@@ -115,6 +118,9 @@
         await fleet.holds_alive(r1, "r2")
         state, lines = await r1.members()
         assert state.members == 3 and lines["r2"].life == 1 and lines["r2"].born == 1
+        # What its new options changed is told to all, in the same life.
+        await fleet.until(lambda: all(relay.logged("zone 3") for relay in (r1, r3)))
+        assert (await r1.members())[1]["r2"].zone == 3 == (await r2.members())[0].zone
 
         # Both are good first; then the new one signs; then the old one is gone. All the while one is killed and known.
         new = "another secret of the tests\n"
--- a/tests/fleet/test_schedules.py
+++ b/tests/fleet/test_schedules.py
@@ -8,6 +8,7 @@
 import os
 import subprocess
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -73,8 +74,13 @@
     assert any("alone, and judges" in problem for problem in play(drawn("one alone", 2, 7)).problems)
 
 
-def gathered(count: int, base: Fate | None = None, settings: Settings | None = None) -> World:
-    world = World(count, settings or Settings(), 1, base)
+def gathered(
+    count: int,
+    base: Fate | None = None,
+    settings: Settings | None = None,
+    zones: Callable[[int], int] = lambda number: 0,
+) -> World:
+    world = World(count, settings or Settings(), 1, base, zones=zones)
     for name in world.nodes:
         world.start(name)
     assert world.run(60 * SECOND, world.one_view)
@@ -88,6 +94,19 @@
     return found
 
 
+def test_zones_are_known_to_all_and_leave_the_view_with_their_members() -> None:
+    world = gathered(5, zones=lambda number: number % 3)
+    expected = {"n1": 1, "n2": 2, "n3": 0, "n4": 1, "n5": 2}
+    views = [members(world, name).view_of_members() for name in world.nodes]
+    assert all(view.zones == expected for view in views) and len({view.view for view in views}) == 1
+    assert all(view.condition is Condition.SETTLED and view.relies.grow for view in views)
+    world.kill("n2")
+    assert world.run(world.now + 60 * SECOND, world.one_view)
+    del expected["n2"]
+    views = [members(world, name).view_of_members() for name in expected]
+    assert all(view.zones == expected and not view.relies.grow for view in views)
+
+
 def test_a_link_that_works_one_way_is_told_apart_from_a_failure() -> None:
     world = gathered(5)
     assert {members(world, name).condition for name in world.nodes} == {Condition.SETTLED}
