Members: full exchanges carry only what the other lacks; hollow relays at scale

Need: 620 members send 2,504 bytes a second each, most of it whole lists that both sides hold already, and nothing showed it by kind.

Change: `Hello` and `Whole` have an optional last field, the digests of what is held in buckets of some sixteen names; the answer holds only buckets that differ, the third frame only what the other has not told. The join of both sides is as before. Relays of before skip the field and are told what they lack.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from benchmarks import fleet, fleet_cost, restarts, simulator, store, turns, upgrade, watches
+from benchmarks import fleet, fleet_cost, fleet_scale, restarts, simulator, store, turns, upgrade, watches
 from benchmarks.kit import carried
 from benchmarks.peers import Cost, measure
 
@@ -133,6 +133,18 @@
     part.add_argument("--members", type=int, default=200)
     part.add_argument("--seconds", type=int, default=30)
     part.set_defaults(run=lambda chosen: fleet_cost.cost(chosen.members, chosen.seconds))
+    part = parts.add_parser("scale", help=fleet_scale.scale.__doc__)
+    part.add_argument("--members", type=int, nargs="+", default=[310, 620, 1000])
+    part.add_argument("--seed", type=int, default=1)
+    part.add_argument("--peace", type=int, default=120, help="seconds")
+    part.add_argument("--cut", type=int, default=300, help="seconds that two regions don't hear each other")
+    part.add_argument("--steps", nargs="*", default=["zone", "regions"], choices=["zone", "regions"])
+    part.add_argument("--workers", type=int, default=2, help="processes at once")
+    part.set_defaults(
+        run=lambda chosen: fleet_scale.scale(
+            chosen.members, chosen.seed, chosen.peace, chosen.cut, chosen.steps, chosen.workers
+        )
+    )
     eight = commands.add_parser("restarts", help=restarts.compare.__doc__)
     eight.add_argument("--seeds", type=int, default=20)
     eight.set_defaults(run=lambda chosen: restarts.compare(chosen.seeds))
--- a/garnetrelay/fleet/mail.py
+++ b/garnetrelay/fleet/mail.py
@@ -32,7 +32,12 @@
 PORT = 1
 # Notes cost: few words on them, and full exchanges only where views are seen to differ.
 SETTINGS = Settings(
-    most_frame=MOST, most_words=4, probe_every=2 * SECOND, probe_timeout=200_000_000, exchange_every=3600 * SECOND
+    most_frame=MOST,
+    most_words=4,
+    probe_every=2 * SECOND,
+    probe_timeout=200_000_000,
+    exchange_every=3600 * SECOND,
+    digests=False,
 )
 LEAST_TRIES = 0.2  # first tries of a relay a second: some 200 relays at limits of a few calls
 WORTH = 0.01  # of a day's result, that notes may cost at most at so many tries
--- a/garnetrelay/fleet/members/frames.py
+++ b/garnetrelay/fleet/members/frames.py
@@ -19,6 +19,7 @@
 import msgspec
 from msgspec import Meta
 
+from garnetrelay.fleet.members import digests
 from garnetrelay.fleet.members.claims import Claim, Host, Incarnation, Life, Name, NameOrNone, Port, Process
 
 MAGIC = b"GF"
@@ -36,6 +37,7 @@
 
 Number = Annotated[int, Meta(ge=0, le=1 << 62)]
 Age = Annotated[int, Meta(ge=-1, le=MOST_AGE)]
+Digests = Annotated[bytes, Meta(max_length=digests.MOST_BYTES)]
 
 
 class Word(NamedTuple):
@@ -110,13 +112,17 @@
 
 
 class Hello(Frame, tag=6, frozen=True, kw_only=True):
-    """Begins a full exchange."""
+    """Begins a full exchange. ``digests`` of what the sender holds; relays of before leave them out and skip them."""
+
+    digests: Digests = b""
 
 
 class Whole(Frame, tag=7, frozen=True, kw_only=True):
-    """All that the sender holds. ``number`` is the other side's, ``ask`` its own, for the answer."""
+    """All that the sender holds, where the other side has told ``digests``: of the buckets that differ. ``number`` is the
+    other side's, ``ask`` its own, for the answer."""
 
     ask: Number
+    digests: Digests = b""  # in as many buckets as the other side's
 
 
 AnyFrame = Ping | Ack | AskFor | Vouch | Nack | Hello | Whole
@@ -175,6 +181,8 @@
             raise Refused("malformed")
         if frame.sender.status or len(frame.words) % WORD.size:
             raise Refused("malformed")
+        if isinstance(frame, EXCHANGE) and not digests.valid(frame.digests):
+            raise Refused("malformed")
         if any(claim.born > claim.life for claim in (frame.sender, *frame.claims)):
             raise Refused("malformed")
         return frame
--- a/garnetrelay/fleet/members/protocol.py
+++ b/garnetrelay/fleet/members/protocol.py
@@ -15,8 +15,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from garnetrelay.fleet.members import digests, worth
 from garnetrelay.fleet.members import frames as fr
-from garnetrelay.fleet.members import worth
 from garnetrelay.fleet.members.asking import Question, Questions, Why
 from garnetrelay.fleet.members.claims import Claim, Place, Status
 from garnetrelay.fleet.members.condition import RELIES, Condition, Doubt, Facts
@@ -143,19 +143,28 @@
 
     def hello(self, now: int) -> fr.Hello:
         """Begins a full exchange."""
-        return fr.Hello(sender=self.own.claim, sequence=self._next(), number=self._draw.getrandbits(62))
+        return fr.Hello(
+            sender=self.own.claim,
+            sequence=self._next(),
+            number=self._draw.getrandbits(62),
+            digests=self._digests(digests.buckets_for(self.count)) if self.settings.digests else b"",
+        )
 
     def answer_hello(self, now: int, hello: fr.Hello) -> fr.Whole:
-        """The other side's first frame: all that this relay holds. The hello itself counts for nothing."""
-        return self._whole(hello.number, self._draw.getrandbits(62))
+        """The other side's first frame: what this relay holds and it does not. The hello itself counts for nothing."""
+        claims, ours = list(self.table.claims()), self._digests_like(hello.digests)
+        if ours:
+            claims = digests.unlike(claims, ours, hello.digests)
+        return self._whole(hello.number, self._draw.getrandbits(62), claims, ours)
 
     def hear_whole(self, now: int, whole: fr.Whole, number: int, asked_at: int) -> tuple[fr.Whole, list[Effect]]:
-        """All that another holds, in answer to ``number`` that was sent at ``asked_at``; ours in return. ValueError where
-        it answers something else."""
+        """What another holds, in answer to ``number`` that was sent at ``asked_at``; in return what it lacks. ValueError
+        where it answers something else."""
         if whole.number != number:
             self.figures.refused["unasked"] += 1
             raise ValueError("a full exchange that answers another question")
         self._begin(now)
+        ours = self._digests_like(whole.digests)
         sender = whole.sender
         if sender.name == self.own.claim.name:
             self._hear(now, sender)
@@ -169,7 +178,8 @@
                 self.joined = True
         for claim in whole.claims:
             self._hear(now, claim)
-        answer = self._whole(whole.ask, 0)
+        lacks = digests.missing(self.table.claims(), [sender, *whole.claims], ours, whole.digests)
+        answer = self._whole(whole.ask, 0, lacks)
         return answer, self._end(now)
 
     def presume(self, now: int, claims: Sequence[Claim]) -> list[Effect]:
@@ -459,14 +469,23 @@
     def _summary(self) -> fr.Summary:
         return fr.Summary(self.view, self.count)
 
-    def _whole(self, number: int, ask: int) -> fr.Whole:
+    def _digests(self, buckets: int) -> bytes:
+        """Of the words on all, this relay's on itself among them."""
+        return digests.digests_of([self.own.claim, *self.table.claims()], buckets)
+
+    def _digests_like(self, theirs: bytes) -> bytes:
+        """In as many buckets as another's; none where it has told none."""
+        return self._digests(len(theirs) // digests.DIGEST.size) if theirs else b""
+
+    def _whole(self, number: int, ask: int, claims: list[Claim], ours: bytes = b"") -> fr.Whole:
         return fr.Whole(
             sender=self.own.claim,
             sequence=self._next(),
             number=number,
             ask=ask,
-            claims=list(self.table.claims())[: fr.MOST_CLAIMS],
+            claims=claims[: fr.MOST_CLAIMS],
             summary=self._summary(),
+            digests=ours,
         )
 
     # ---- time
--- a/garnetrelay/fleet/members/settings.py
+++ b/garnetrelay/fleet/members/settings.py
@@ -28,6 +28,7 @@
     versions: int = 2  # the highest version of frames that is spoken
     most_words: int = 48  # of others on an answer
     most_frame: int = 1200  # bytes of a datagram; 256 on the simulator's wire
+    digests: bool = True  # full exchanges tell what is held alike; not on the simulator's wire, where views are presumed
 
     def __post_init__(self) -> None:
         if self.probe_timeout * 2 > self.probe_every:
--- a/garnetrelay/laboratory/world.py
+++ b/garnetrelay/laboratory/world.py
@@ -25,6 +25,7 @@
 
 SECRET, OLD_SECRET = b"laboratory's secret", b"laboratory's secret of before"
 LEAST_PASS = 0.0002  # seconds over a link that has no delay of its own
+LENGTH = 4  # bytes ahead of a frame over a connection
 PORT = 7946
 
 
@@ -97,6 +98,7 @@
         self.refused: Counter[str] = Counter()
         self.after_effects: Callable[[Node], None] | None = None
         self.heard: Callable[[Node, bytes], None] | None = None  # a datagram reached a process
+        self.sent: Callable[[Node, fr.Frame, int], None] | None = None  # a frame of so many bytes goes out
         self._seed = seed
         self._draw = random.Random(f"{seed}/world")
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
@@ -233,7 +235,7 @@
         for effect in effects:
             match effect:
                 case Tell(place, frame, version):
-                    self._send(node, place, (self.old_codec if node.old_secret else self.codec).encode(frame, version))
+                    self._send(node, place, frame, version)
                 case Exchange(place):
                     self._exchange(node, place)
                 case KeepLife(life):
@@ -260,11 +262,12 @@
         node.life = max(node.life, life)
         self._carry_out(node, node.members.life_kept(self.now + node.ahead, life))
 
-    def _send(self, node: Node, place: Place, data: bytes) -> None:
+    def _send(self, node: Node, place: Place, frame: fr.Frame, version: int) -> None:
+        data = (self.old_codec if node.old_secret else self.codec).encode(frame, version)
         if len(data) > self.settings.most_frame:
             raise AssertionError(f"a frame of {len(data)} bytes")
         node.sent_frames += 1
-        node.sent_bytes += len(data)
+        self._count_bytes(node, frame, len(data))
         other = self.by_place.get(place)
         if other is None:
             return
@@ -305,6 +308,7 @@
             return
         process, began = node.process, self.now + node.ahead
         hello = node.members.hello(began)
+        self._count_piece(node, hello)
 
         def then(first: Node, second: Node, its: int, what: Callable[[], None]) -> None:
             took = self._pass(first, second)
@@ -315,12 +319,12 @@
             assert other.members is not None
             asked_at, its = self.now + other.ahead, other.process
             whole = other.members.answer_hello(asked_at, hello)
-            self._count_bytes(other, whole)
+            self._count_piece(other, whole)
 
             def hear() -> None:
                 assert node.members is not None
                 ours, effects = node.members.hear_whole(self.now + node.ahead, whole, hello.number, began)
-                self._count_bytes(node, ours)
+                self._count_piece(node, ours)
 
                 def hear_ours() -> None:
                     assert other.members is not None
@@ -335,5 +339,11 @@
         if other.members is not None:
             then(node, other, other.process, answer)
 
-    def _count_bytes(self, node: Node, frame: fr.Frame) -> None:
-        node.sent_bytes += len(self.codec.encode(frame, 2))
+    def _count_piece(self, node: Node, frame: fr.Frame) -> None:
+        """A frame over a connection goes behind its length."""
+        self._count_bytes(node, frame, len(self.codec.encode(frame, 2)) + LENGTH)
+
+    def _count_bytes(self, node: Node, frame: fr.Frame, size: int) -> None:
+        node.sent_bytes += size
+        if self.sent is not None:
+            self.sent(node, frame, size)
