--- a/garnetrelay/laboratory/world.py
+++ b/garnetrelay/laboratory/world.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, field
 
 from garnetrelay.fleet.members import frames as fr
-from garnetrelay.fleet.members.claims import Claim, Identity, Place, Status
+from garnetrelay.fleet.members.claims import UNKNOWN_ZONE, Claim, Identity, Place, Status
 from garnetrelay.fleet.members.effects import Effect, Exchange, KeepLife, Note, Tell
 from garnetrelay.fleet.members.protocol import Members
 from garnetrelay.fleet.members.settings import MS, SECOND, Settings
@@ -25,6 +25,7 @@
 
 SECRET, OLD_SECRET = b"laboratory's secret", b"laboratory's secret of before"
 LEAST_PASS = 0.0002  # seconds over a link that has no delay of its own
+LENGTH = 4  # bytes ahead of a frame over a connection
 PORT = 7946
 
 
@@ -76,6 +77,7 @@
         base: Fate | None = None,
         seeds: int = 3,
         versions: Callable[[int], int] = lambda number: 2,
+        zones: Callable[[int], int] = lambda number: UNKNOWN_ZONE,
         keep_notes: bool = False,
     ) -> None:
         self.settings = settings
@@ -89,12 +91,14 @@
         self.by_place = {node.place: node for node in self.nodes.values()}
         self.seeds = [node.place for node in itertools.islice(self.nodes.values(), seeds)]
         self.versions = versions
+        self.zones = zones
         self.notes: list[Seen] = []
         self.keep_notes = keep_notes
         self.failures: list[tuple[int, str, str, Identity, bool]] = []  # at, by, whom, its life, whether it was there
         self.refused: Counter[str] = Counter()
         self.after_effects: Callable[[Node], None] | None = None
         self.heard: Callable[[Node, bytes], None] | None = None  # a datagram reached a process
+        self.sent: Callable[[Node, fr.Frame, int], None] | None = None  # a frame of so many bytes goes out
         self._seed = seed
         self._draw = random.Random(f"{seed}/world")
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
@@ -139,6 +143,7 @@
             node.place.host,
             node.place.port,
             settings.versions,
+            zone=self.zones(int(name[1:])),
         )
         draw = random.Random(f"{self._seed}/{name}/{node.process}")
         node.members = Members(claim, settings, draw, self.now, self.seeds)
@@ -230,7 +235,7 @@
         for effect in effects:
             match effect:
                 case Tell(place, frame, version):
-                    self._send(node, place, (self.old_codec if node.old_secret else self.codec).encode(frame, version))
+                    self._send(node, place, frame, version)
                 case Exchange(place):
                     self._exchange(node, place)
                 case KeepLife(life):
@@ -257,11 +262,12 @@
         node.life = max(node.life, life)
         self._carry_out(node, node.members.life_kept(self.now + node.ahead, life))
 
-    def _send(self, node: Node, place: Place, data: bytes) -> None:
+    def _send(self, node: Node, place: Place, frame: fr.Frame, version: int) -> None:
+        data = (self.old_codec if node.old_secret else self.codec).encode(frame, version)
         if len(data) > self.settings.most_frame:
             raise AssertionError(f"a frame of {len(data)} bytes")
         node.sent_frames += 1
-        node.sent_bytes += len(data)
+        self._count_bytes(node, frame, len(data))
         other = self.by_place.get(place)
         if other is None:
             return
@@ -302,6 +308,7 @@
             return
         process, began = node.process, self.now + node.ahead
         hello = node.members.hello(began)
+        self._count_piece(node, hello)
 
         def then(first: Node, second: Node, its: int, what: Callable[[], None]) -> None:
             took = self._pass(first, second)
@@ -312,12 +319,12 @@
             assert other.members is not None
             asked_at, its = self.now + other.ahead, other.process
             whole = other.members.answer_hello(asked_at, hello)
-            self._count_bytes(other, whole)
+            self._count_piece(other, whole)
 
             def hear() -> None:
                 assert node.members is not None
                 ours, effects = node.members.hear_whole(self.now + node.ahead, whole, hello.number, began)
-                self._count_bytes(node, ours)
+                self._count_piece(node, ours)
 
                 def hear_ours() -> None:
                     assert other.members is not None
@@ -332,5 +339,11 @@
         if other.members is not None:
             then(node, other, other.process, answer)
 
-    def _count_bytes(self, node: Node, frame: fr.Frame) -> None:
-        node.sent_bytes += len(self.codec.encode(frame, 2))
+    def _count_piece(self, node: Node, frame: fr.Frame) -> None:
+        """A frame over a connection goes behind its length."""
+        self._count_bytes(node, frame, len(self.codec.encode(frame, 2)) + LENGTH)
+
+    def _count_bytes(self, node: Node, frame: fr.Frame, size: int) -> None:
+        node.sent_bytes += size
+        if self.sent is not None:
+            self.sent(node, frame, size)
