Leases: signed messages, and a controller's durable records

Number64 of the messages has no upper bound any more: msgspec can't state one over 63 bits, and MessagePack carries no more.

Measured: nothing yet.

--- a/garnetrelay/config/fleet.py
+++ b/garnetrelay/config/fleet.py
@@ -10,8 +10,8 @@
 from msgspec import Meta
 
 from garnetrelay.fleet.members.claims import MOST_NAME, Place
-from garnetrelay.fleet.members.frames import LEAST_SECRET
 from garnetrelay.fleet.members.settings import MS, SECOND, Settings
+from garnetrelay.fleet.signing import LEAST_SECRET
 
 MOST_SEEDS = 16
 MOST_SECRETS = 2  # during a change
--- a/garnetrelay/fleet/leases/messages.py
+++ b/garnetrelay/fleet/leases/messages.py
@@ -20,7 +20,7 @@
 PartitionNumber = Annotated[int, Meta(ge=0, lt=MOST_PARTITIONS)]
 Epoch = Annotated[int, Meta(ge=0, le=MOST_EPOCH)]
 Number62 = Annotated[int, Meta(ge=0, lt=1 << 62)]
-Number64 = Annotated[int, Meta(ge=0, lt=1 << 64)]
+Number64 = Annotated[int, Meta(ge=0)]  # MessagePack carries no more than 64 bits, and msgspec no such bound
 Duration = Annotated[int, Meta(ge=0, lt=1 << 50)]
 ControllerNumber = Annotated[int, Meta(ge=0, lt=MOST_CONTROLLERS)]
 
--- a/garnetrelay/fleet/members/frames.py
+++ b/garnetrelay/fleet/members/frames.py
@@ -10,8 +10,6 @@
 
 from __future__ import annotations
 
-import hashlib
-import hmac
 import struct
 from collections.abc import Iterable
 from typing import Annotated, Any, NamedTuple
@@ -19,11 +17,12 @@
 import msgspec
 from msgspec import Meta
 
+from garnetrelay.fleet import signing
 from garnetrelay.fleet.members.claims import Claim, Host, Incarnation, Life, Name, NameOrNone, Port, Process
 
 MAGIC = b"GF"
 VERSIONS = (1, 2)
-HEAD = 20  # bytes before the body
+HEAD = signing.HEAD
 MOST_DATAGRAM = 1200  # bytes, head and all: fits an IPv6 packet of the least MTU (RFC 8200, section 5)
 MOST_EXCHANGE = 1 << 20  # bytes of a frame over TCP: 2,000 members of the longest names, and more
 MOST_CLAIMS = 4096
@@ -32,7 +31,6 @@
 AGE_STEP = 20  # milliseconds
 OLDEST_WORD = 0xFFFF * AGE_STEP  # milliseconds; what is older is not told
 MOST_AGE = 1 << 31  # milliseconds
-LEAST_SECRET = 16  # bytes
 
 Number = Annotated[int, Meta(ge=0, le=1 << 62)]
 Age = Annotated[int, Meta(ge=-1, le=MOST_AGE)]
@@ -123,24 +121,17 @@
 EXCHANGE = (Hello, Whole)
 
 
-class Refused(ValueError):
-    """A frame that is not used; ``cause`` is one word for the figures."""
-
-    def __init__(self, cause: str) -> None:
-        super().__init__(cause)
-        self.cause = cause
-
+Refused = signing.Refused
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(AnyFrame)
 
 
-class Codec:
+class Codec(signing.Signing):
     """Frames to bytes and back. The first secret signs; both are good."""
 
     def __init__(self, secrets: list[bytes]) -> None:
-        self.signing = secrets[0]
-        self.good = [(_number(secret), secret) for secret in secrets]
+        super().__init__(MAGIC, VERSIONS, secrets)
 
     def encode(self, frame: Frame, version: int) -> bytes:
         """A frame as it goes out; what the version does not have is left out."""
@@ -148,25 +139,9 @@
             frame = msgspec.structs.replace(frame, summary=None, words=b"")
         return self.sign(_encoder.encode(frame), version)
 
-    def sign(self, body: bytes, version: int) -> bytes:
-        """A body behind its head."""
-        return b"%s%c%c%s%s" % (MAGIC, version, self.good[0][0], _digest(self.signing, version, body), body)
-
     def decode(self, data: bytes, exchange: bool = False) -> AnyFrame:
         """The frame; Refused with a cause. ``exchange``: it came over TCP."""
-        if len(data) > (MOST_EXCHANGE if exchange else MOST_DATAGRAM):
-            raise Refused("long")
-        if len(data) <= HEAD or data[:2] != MAGIC:
-            raise Refused("foreign")
-        version = data[2]
-        if version not in VERSIONS:
-            raise Refused("version")
-        body = data[HEAD:]
-        if not any(
-            number == data[3] and hmac.compare_digest(_digest(secret, version, body), data[4:HEAD])
-            for number, secret in self.good
-        ):
-            raise Refused("secret")
+        version, body = self.open(data, MOST_EXCHANGE if exchange else MOST_DATAGRAM)
         try:
             frame: AnyFrame = _decoder.decode(body)
         except (msgspec.DecodeError, RecursionError):
@@ -180,14 +155,6 @@
         return frame
 
 
-def _number(secret: bytes) -> int:
-    return hashlib.sha256(b"garnetrelay fleet" + secret).digest()[0]
-
-
-def _digest(secret: bytes, version: int, body: bytes) -> bytes:
-    return hmac.digest(secret, b"%c" % version + body, "sha256")[:16]
-
-
 class Window:
     """Which of a sender's numbers have been seen: a frame is taken once, late ones within 256 (as RFC 4303, 3.4.3)."""
 
--- /dev/null
+++ b/garnetrelay/fleet/signing.py
@@ -0,0 +1,63 @@
+"""Frames signed with a secret that the fleet shares. No I/O.
+
+    bytes 0-1 magic, 2 version, 3 number of the secret, 4-19 keyed digest (HMAC-SHA256, RFC 2104, its first 16 bytes, over
+    context, version and body), then the body.
+
+Each protocol has its own magic, versions and context; what is signed for one is refused by another of another context.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections.abc import Container
+
+HEAD = 20  # bytes before the body
+LEAST_SECRET = 16  # bytes
+
+
+class Refused(ValueError):
+    """A frame that is not used; ``cause`` is one word for the figures."""
+
+    def __init__(self, cause: str) -> None:
+        super().__init__(cause)
+        self.cause = cause
+
+
+class Signing:
+    """Bodies to frames and back. The first secret signs; all are good."""
+
+    def __init__(self, magic: bytes, versions: Container[int], secrets: list[bytes], context: bytes = b"") -> None:
+        self.signing = secrets[0]
+        self.good = [(_number(secret), secret) for secret in secrets]
+        self._magic = magic
+        self._versions = versions
+        self._context = context
+
+    def sign(self, body: bytes, version: int) -> bytes:
+        """A body behind its head."""
+        return b"%s%c%c%s%s" % (self._magic, version, self.good[0][0], self._digest(self.signing, version, body), body)
+
+    def open(self, data: bytes, most: int) -> tuple[int, bytes]:
+        """Version and body of a frame of at most so many bytes; Refused with a cause."""
+        if len(data) > most:
+            raise Refused("long")
+        if len(data) <= HEAD or data[:2] != self._magic:
+            raise Refused("foreign")
+        version = data[2]
+        if version not in self._versions:
+            raise Refused("version")
+        body = data[HEAD:]
+        if not any(
+            number == data[3] and hmac.compare_digest(self._digest(secret, version, body), data[4:HEAD])
+            for number, secret in self.good
+        ):
+            raise Refused("secret")
+        return version, body
+
+    def _digest(self, secret: bytes, version: int, body: bytes) -> bytes:
+        return hmac.digest(secret, self._context + b"%c" % version + body, "sha256")[:16]
+
+
+def _number(secret: bytes) -> int:
+    return hashlib.sha256(b"garnetrelay fleet" + secret).digest()[0]
--- /dev/null
+++ b/tests/fleet/leases/test_lease_codec.py
@@ -0,0 +1,154 @@
+"""What a relay or a controller takes for a message of leases, and what it refuses."""
+
+from __future__ import annotations
+
+import random
+import struct
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+import pytest
+
+from garnetrelay.fleet.leases import codec as lease_codec
+from garnetrelay.fleet.leases.codec import MOST_DATAGRAM, VERSION, Codec
+from garnetrelay.fleet.leases.messages import (
+    MOST_EPOCH,
+    MOST_GRANTS,
+    MOST_PARTITIONS,
+    Acquire,
+    Answer,
+    Grant,
+    Message,
+    ReadRecords,
+    Record,
+    Records,
+    Refusal,
+    Release,
+    Renew,
+    Session,
+)
+from garnetrelay.fleet.members import frames as fr
+from garnetrelay.fleet.signing import HEAD, Refused
+
+SECRET, OTHER = b"the secret of the tests", b"a secret of somebody else"
+SESSION = Session("relay-7", (1 << 62) - 1)
+GRANTS = [Grant(partition, 3) for partition in range(MOST_GRANTS)]
+REFUSALS = [Refusal(partition, 3, 10**9) for partition in range(10)]
+RECORDS = [Record(partition, 3, "r7", 5) for partition in range(10)]
+MESSAGES: list[Message] = [
+    Acquire(SESSION, 1, 2, GRANTS),
+    Renew(SESSION, 1, 2, MOST_PARTITIONS, (1 << 64) - 1),
+    Release(SESSION, 1, 2, []),
+    Answer(4, 2, 1, True, False, GRANTS[:20], REFUSALS),
+    ReadRecords(0, 2, 1, MOST_PARTITIONS - 1),
+    Records(8, 2, 1, RECORDS, -1),
+]
+
+
+def cause(codec: Codec, data: bytes) -> str:
+    with pytest.raises(Refused) as refused:
+        codec.decode(data)
+    return refused.value.cause
+
+
+@pytest.mark.parametrize("message", MESSAGES)
+def test_every_message_comes_back_as_it_went(message: Message) -> None:
+    codec = Codec([SECRET])
+    data = codec.encode(message)
+    assert codec.decode(data) == message and len(data) <= MOST_DATAGRAM
+
+
+def test_both_secrets_are_good_during_a_change_and_the_first_signs() -> None:
+    before, during, after = Codec([OTHER]), Codec([SECRET, OTHER]), Codec([SECRET])
+    message = MESSAGES[1]
+    assert during.decode(before.encode(message)) == message == after.decode(during.encode(message))
+    assert cause(before, during.encode(message)) == cause(after, before.encode(message)) == "secret"
+
+
+def test_what_is_signed_for_members_is_no_message_of_leases() -> None:
+    """The same secret, and the magic exchanged: the context is part of what is signed."""
+    codec, members = Codec([SECRET]), fr.Codec([SECRET])
+    body = msgspec.msgpack.encode(MESSAGES[1])
+    assert cause(codec, members.sign(body, VERSION)) == "foreign"
+    assert cause(codec, b"GL" + members.sign(body, VERSION)[2:]) == "secret"
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Acquire(SESSION, 1, 2, [Grant(65535, MOST_EPOCH - number) for number in range(MOST_GRANTS)]),
+        Release(SESSION, 1, 2, [Grant(65535, MOST_EPOCH - number) for number in range(MOST_GRANTS)]),
+        Answer(0, 2, 1, True, True, [], [Refusal(number, MOST_EPOCH, 1 << 49) for number in range(MOST_GRANTS)]),
+        Answer(0, 2, 1, True, True, GRANTS, [Refusal(number, MOST_EPOCH, 1 << 49) for number in range(MOST_GRANTS)]),
+        Records(0, 2, 1, [Record(number, MOST_EPOCH, "n" * 64, 1 << 61) for number in range(MOST_GRANTS)], -1),
+    ],
+)
+def test_what_is_too_long_for_a_datagram_goes_with_fewer_entries(message: Message) -> None:
+    codec = Codec([SECRET])
+    data = codec.encode(message)
+    found = codec.decode(data)
+    assert MOST_DATAGRAM - 200 < len(data) <= MOST_DATAGRAM
+    match message, found:
+        case ((Acquire() | Release()), (Acquire() | Release())):
+            assert found.grants and found.grants == message.grants[: len(found.grants)]
+        case Answer(), Answer():
+            assert found.granted == message.granted
+            assert found.refused and found.refused == message.refused[: len(found.refused)]
+        case Records(), Records():
+            assert found.records == message.records[: len(found.records)]
+            assert found.following == message.records[len(found.records)].partition
+        case _:
+            raise AssertionError(found)
+
+
+def hostile(draw: random.Random, codec: Codec, good: list[bytes]) -> Iterator[tuple[str, bytes]]:
+    """What is wrong, and the bytes."""
+
+    def spoilt() -> bytes:
+        """A good message with one field out of bounds."""
+        whole: list[Any] = msgspec.msgpack.decode(draw.choice(good)[HEAD:])
+        place = draw.randrange(len(whole))
+        whole[place] = draw.choice([-1, 1 << 64 - 1, "x" * 70, [[1, 2]] * (MOST_GRANTS + 1), None, 1.5, {}])
+        return codec.sign(msgspec.msgpack.encode(whole), VERSION)
+
+    def damaged() -> bytes:
+        data = bytearray(draw.choice(good))
+        data[draw.randrange(len(data))] ^= draw.randint(1, 255)
+        return bytes(data)
+
+    for _ in range(300):
+        data = draw.choice(good)
+        yield "damaged", damaged()
+        yield "cut short", data[: draw.randrange(len(data))]
+        yield "longer", data + draw.randbytes(draw.randint(1, 9))
+        yield "noise", draw.randbytes(draw.randrange(1300))
+        yield "another secret", Codec([OTHER]).sign(data[HEAD:], VERSION)
+        yield "a later version", codec.sign(data[HEAD:], draw.randint(2, 255))
+        yield "noise, signed", codec.sign(draw.randbytes(draw.randint(1, 1100)), VERSION)
+        yield "nested, signed", codec.sign(b"\x91" * 1100, VERSION)
+        yield "a huge count, signed", codec.sign(b"\xdd" + struct.pack(">I", draw.randrange(1 << 31, 1 << 32)), VERSION)
+        yield "out of bounds, signed", spoilt()
+
+
+def test_nothing_hostile_is_taken() -> None:
+    codec = Codec([SECRET])
+    good = [codec.encode(message) for message in MESSAGES]
+    causes: dict[str, set[str]] = {}
+    for kind, data in hostile(random.Random(1), codec, good):
+        try:
+            message = codec.decode(data)
+        except Refused as refused:
+            causes.setdefault(kind, set()).add(refused.cause)
+        else:  # a field may be replaced by one that is good as well
+            assert kind == "out of bounds, signed" and codec.encode(message)
+    assert causes["another secret"] == {"secret"} and causes["a later version"] == {"version"}
+    assert causes["nested, signed"] == causes["noise, signed"] == causes["a huge count, signed"] == {"malformed"}
+    assert causes["out of bounds, signed"] == {"malformed"}
+    assert set().union(*causes.values()) == {"secret", "version", "malformed", "long", "foreign"}
+
+
+def test_the_limit_is_that_of_a_datagram() -> None:
+    codec = Codec([SECRET])
+    assert cause(codec, codec.sign(bytes(MOST_DATAGRAM), VERSION)) == "long"
+    assert lease_codec.MAGIC != fr.MAGIC
--- /dev/null
+++ b/tests/fleet/leases/test_lease_records.py
@@ -0,0 +1,220 @@
+"""A controller's records on disk: what a kill, a full disk and a damaged file leave of them."""
+
+from __future__ import annotations
+
+import errno
+import os
+from pathlib import Path
+
+import pytest
+
+from garnetrelay.fleet.leases import records as lease_records
+from garnetrelay.fleet.leases.messages import Record
+from garnetrelay.fleet.leases.records import FILE, RecordsBroken, RecordsError, RecordsFile
+
+FIRST = [Record(0, 1, "r1", 11), Record(1, 1, "r2", 22)]
+SECOND = [Record(1, 2, "r3", 33)]
+THIRD = [Record(2, 5, "", 0)]
+
+
+def opened(folder: Path) -> RecordsFile:
+    found = RecordsFile(folder, 3, 64)
+    found.open()
+    return found
+
+
+def read(folder: Path) -> list[Record] | None:
+    found = RecordsFile(folder, 3, 64)
+    try:
+        return found.open()
+    finally:
+        found.close()
+
+
+def written(folder: Path) -> bytes:
+    """A file with three batches."""
+    file = RecordsFile(folder, 3, 64)
+    file.initialize()
+    file.open()
+    for batch in (FIRST, SECOND, THIRD):
+        file.append(batch)
+    file.close()
+    return (folder / FILE).read_bytes()
+
+
+def test_the_latest_record_of_each_partition_is_read(tmp_path: Path) -> None:
+    written(tmp_path)
+    assert read(tmp_path) == [FIRST[0], *SECOND, *THIRD]
+
+
+def test_no_file_is_told_from_an_empty_one(tmp_path: Path) -> None:
+    assert read(tmp_path) is None
+    file = RecordsFile(tmp_path, 3, 64)
+    file.initialize()
+    assert read(tmp_path) == []
+    with pytest.raises(RecordsError, match="there is one already"):
+        file.initialize()
+
+
+def test_a_first_write_into_an_empty_folder_makes_the_file(tmp_path: Path) -> None:
+    file = opened(tmp_path)
+    assert not (tmp_path / FILE).exists()
+    file.append(FIRST)
+    file.append(SECOND)
+    file.close()
+    assert read(tmp_path) == [FIRST[0], *SECOND]
+
+
+def test_a_torn_last_batch_is_cut_wherever_it_tore(tmp_path: Path) -> None:
+    whole = written(tmp_path)
+    cut_from = len(whole) - lease_records.BATCH.size - len(lease_records._encoder.encode(THIRD))
+    for end in range(cut_from + 1, len(whole)):
+        (tmp_path / FILE).write_bytes(whole[:end])
+        file = RecordsFile(tmp_path, 3, 64)
+        assert file.open() == [FIRST[0], *SECOND] and file.cut_bytes == end - cut_from
+        file.append(THIRD)  # it goes on from there
+        file.close()
+        assert (tmp_path / FILE).read_bytes() == whole
+
+
+def test_damage_in_the_middle_is_refused_at_every_byte(tmp_path: Path) -> None:
+    whole = written(tmp_path)
+    last = len(whole) - lease_records.BATCH.size - len(lease_records._encoder.encode(THIRD))
+    for place in range(last):
+        (tmp_path / FILE).write_bytes(whole[:place] + bytes([whole[place] ^ 0x55]) + whole[place + 1 :])
+        with pytest.raises(RecordsError) as refused:
+            read(tmp_path)
+        assert str(tmp_path / FILE) in str(refused.value) and "\n" not in str(refused.value)
+    (tmp_path / FILE).write_bytes(whole)
+    assert read(tmp_path) == [FIRST[0], *SECOND, *THIRD]  # the folder was let go of each time, and is as it was
+
+
+def test_a_damaged_snapshot_is_no_torn_write(tmp_path: Path) -> None:
+    file = opened(tmp_path)
+    file.append(FIRST)  # a snapshot alone
+    file.close()
+    whole = (tmp_path / FILE).read_bytes()
+    for data in (whole[:-1], whole[: lease_records.HEADER.size], whole[:-1] + bytes([whole[-1] ^ 1])):
+        (tmp_path / FILE).write_bytes(data)
+        with pytest.raises(RecordsError, match="damaged at byte"):
+            read(tmp_path)
+
+
+@pytest.mark.parametrize(
+    "controller, partitions, said",
+    [(2, 64, "of controller 3, not 2"), (3, 128, "of 64 partitions, not 128")],
+)
+def test_a_file_of_something_else_is_refused(tmp_path: Path, controller: int, partitions: int, said: str) -> None:
+    written(tmp_path)
+    with pytest.raises(RecordsError, match=said):
+        RecordsFile(tmp_path, controller, partitions).open()
+
+
+def test_a_folder_has_one_controller(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("garnetrelay.store.storage.LOCK_TIME", 0.0)
+    file = opened(tmp_path)
+    with pytest.raises(RecordsError, match="another controller works on this folder"):
+        opened(tmp_path)
+    file.close()
+    opened(tmp_path).close()
+
+
+def full(handle: int, data: bytes | memoryview) -> int:
+    raise OSError(errno.ENOSPC, "No space left on device")
+
+
+def test_a_full_disk_leaves_what_was_there(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    real = os.write
+    whole = written(tmp_path)
+    file = opened(tmp_path)
+    half: list[int] = []
+
+    def half_full(handle: int, data: bytes | memoryview) -> int:
+        if half:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        half.append(1)
+        return real(handle, data[: len(data) // 2])
+
+    with monkeypatch.context() as patched:
+        patched.setattr(os, "write", half_full)
+        with pytest.raises(OSError, match="No space left"):
+            file.append([Record(9, 9, "r9", 9)])
+    assert (tmp_path / FILE).read_bytes() == whole
+    file.append([Record(8, 1, "r8", 8)])
+    file.close()
+    found = read(tmp_path)
+    assert found is not None and found[-1].partition == 8 and not any(each.partition == 9 for each in found)
+
+
+def test_a_write_whose_sync_failed_is_taken_back(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """All its bytes are there: without the undo the next start would take it for granted."""
+    whole = written(tmp_path)
+    file = opened(tmp_path)
+    real = os.fsync
+    failed: list[int] = []
+
+    def fails_once(handle: int) -> None:
+        if not failed:
+            failed.append(1)
+            raise OSError(errno.EIO, "Input/output error")
+        real(handle)
+
+    with monkeypatch.context() as patched:
+        patched.setattr(os, "fsync", fails_once)
+        with pytest.raises(OSError, match="Input/output"):
+            file.append([Record(9, 9, "r9", 9)])
+    assert (tmp_path / FILE).read_bytes() == whole
+
+
+@pytest.mark.parametrize("first", [True, False])
+def test_one_that_cannot_be_taken_back_breaks_the_file(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, first: bool
+) -> None:
+    if not first:
+        written(tmp_path)
+    file = opened(tmp_path)
+
+    def fails(handle: int) -> None:
+        raise OSError(errno.EIO, "Input/output error")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(os, "fsync", fails)
+        with pytest.raises(RecordsBroken, match="can't be undone"):
+            file.append(FIRST)
+
+
+def test_a_grown_file_is_replaced_by_a_short_one(tmp_path: Path) -> None:
+    file = opened(tmp_path)
+    for epoch in range(1, 5000):
+        file.append([Record(epoch % 64, epoch, "r1", 1)])
+        if file.compactions:
+            break
+    assert file.compactions == 1 and file.size == (tmp_path / FILE).stat().st_size < 4096
+    file.append(THIRD)
+    file.close()
+    found = read(tmp_path)
+    assert found is not None and len(found) == 64 and THIRD[0] in found
+    assert max(each.epoch for each in found) == epoch
+
+
+@pytest.mark.parametrize("placed", [True, False])
+def test_a_compaction_that_fails_loses_nothing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, placed: bool) -> None:
+    """Also where only the sync of the folder's names fails: the short file is in place then."""
+    monkeypatch.setattr(lease_records, "LEAST_COMPACTION", 200)
+    written(tmp_path)
+    file = opened(tmp_path)
+    with monkeypatch.context() as patched:
+        patched.setattr("garnetrelay.store.storage.Folder.sync_names", fail_names)
+        if not placed:
+            patched.setattr(os, "rename", fail_names)
+        for epoch in range(10, 30):
+            file.append([Record(0, epoch, "r1", 1)])
+    assert bool(file.compactions) == placed
+    file.append([Record(0, 40, "r1", 1)])
+    file.close()
+    found = read(tmp_path)
+    assert found is not None and found[0] == Record(0, 40, "r1", 1) and found[1:] == [*SECOND, *THIRD]
+
+
+def fail_names(*_: object) -> None:
+    raise OSError(errno.EIO, "Input/output error")
