--- a/garnetrelay/cli/journal.py
+++ b/garnetrelay/cli/journal.py
@@ -99,6 +99,8 @@
             case Kind.TRY:
                 ref, at, zone = fmt.read_try(found)
                 what = f"{ref} at {at} in {zone}"
+                if (epoch := fmt.read_epoch(found)) is not None:
+                    what += f" epoch {epoch}"
             case Kind.OUTCOME:
                 ref, ran = fmt.read_outcome(found)
                 what = f"{ref} {'may have run' if ran else 'never ran'}"
--- a/garnetrelay/store/format.py
+++ b/garnetrelay/store/format.py
@@ -9,6 +9,9 @@
     ENDED   over, with a result that is to be told GONE     nothing more is owed: what stands before it is void
     SEAL    the segment is whole: how many records it has
     NOTE    says nothing: written to see whether the folder takes something
+
+A TRY may have eight bytes behind its last field: the epoch in which the relay owned the destination. Earlier programs
+of this version pass them over.
 """
 
 from __future__ import annotations
@@ -32,6 +35,7 @@
 _ENTRY = struct.Struct(">QIBBH")  # deadline, destination, lengths of ref, class and key
 _STATE = struct.Struct(">HBQQBBBI")  # attempts, flags, trying_at, ran_at, lengths of two zones, result, wait
 _TRY = struct.Struct(">BQB")
+EPOCH = struct.Struct(">Q")
 _OUTCOME = struct.Struct(">BB")
 _ENDED = struct.Struct(">BBI")
 _COUNT = struct.Struct(">I")
@@ -152,9 +156,10 @@
     return pack(Kind.STATE, more + trying + ran + _entry(entry))
 
 
-def trying(ref: str, zone: str, at: int) -> bytes:
+def trying(ref: str, zone: str, at: int, epoch: int | None = None) -> bytes:
     name, where = ref.encode(), zone.encode()
-    return pack(Kind.TRY, _TRY.pack(len(name), at, len(where)) + name + where)
+    stamp = b"" if epoch is None else EPOCH.pack(epoch)
+    return pack(Kind.TRY, _TRY.pack(len(name), at, len(where)) + name + where + stamp)
 
 
 def outcome(ref: str, ran: bool) -> bytes:
@@ -293,6 +298,16 @@
         raise FormatError(str(error)) from None
 
 
+def read_epoch(record: Record) -> int | None:
+    """The epoch of an attempt; None where none is on record."""
+    try:
+        size, _, zone_size = _TRY.unpack_from(record.payload)
+        stamp = record.payload[_TRY.size + size + zone_size :]
+        return int(EPOCH.unpack(stamp)[0]) if stamp else None
+    except struct.error as error:
+        raise FormatError(str(error)) from None
+
+
 def read_outcome(record: Record) -> tuple[str, bool]:
     try:
         size, ran = _OUTCOME.unpack_from(record.payload)
--- a/garnetrelay/store/index.py
+++ b/garnetrelay/store/index.py
@@ -17,9 +17,9 @@
 EACH = 64  # the same for an attempt and its outcome, with the name of a building
 
 
-def reserve(ref: str, key: str | None, body_length: int, tries: int = TRIES) -> int:
+def reserve(ref: str, key: str | None, body_length: int, tries: int = TRIES, each: int = EACH) -> int:
     """What a message may come to take in all (bytes): its base, so many attempts, their outcomes, its end."""
-    return body_length + (2 * tries + 3) * len(ref) + 2 * len(key or "") + FIXED + tries * EACH
+    return body_length + (2 * tries + 3) * len(ref) + 2 * len(key or "") + FIXED + tries * each
 
 
 @dataclass(slots=True)
@@ -49,16 +49,22 @@
 
     def __init__(self) -> None:
         self.tries = TRIES  # attempts that the settings allow a message
+        self.each = EACH
         self.entries: dict[str, Entry] = {}
         self.segments: dict[int, Segment] = {}
         self.tombs: dict[str, Tomb] = {}
         self.reserved = 0
         self.live = 0  # bytes of all records that are still needed
 
-    def allow(self, tries: int) -> None:
-        """From now on a message may have so many attempts; those that are there as well."""
+    def allow(self, tries: int, epochs: bool = False) -> None:
+        """From now on a message may have so many attempts, with an epoch each or without: those that are there too."""
         self.tries = tries
-        self.reserved = sum(reserve(e.ref, e.key, len(e.body), tries) for e in self.entries.values())
+        self.each = EACH + fmt.EPOCH.size * epochs
+        self.reserved = sum(self.reserve(e.ref, e.key, len(e.body)) for e in self.entries.values())
+
+    def reserve(self, ref: str, key: str | None, body_length: int) -> int:
+        """What a message may come to take in all (bytes)."""
+        return reserve(ref, key, body_length, self.tries, self.each)
 
     # ---- records that have been written, or were read
 
@@ -69,13 +75,13 @@
             self._supersede(entry, old, tomb, number)
         entry.base, entry.spread = number, {}
         self.entries[entry.ref] = entry
-        self.reserved += reserve(entry.ref, entry.key, len(entry.body), self.tries)
+        self.reserved += self.reserve(entry.ref, entry.key, len(entry.body))
         self.more(entry, number, size)
 
     def _supersede(self, entry: Entry, old: Entry | None, tomb: Tomb | None, number: int) -> None:
         stale: set[int] = set()
         if old is not None:
-            self.reserved -= reserve(old.ref, old.key, len(old.body), self.tries)
+            self.reserved -= self.reserve(old.ref, old.key, len(old.body))
             self._unplace(old)
             stale = {*old.stale, old.base}
         if tomb is not None:
@@ -99,12 +105,12 @@
         entry = self.entries.pop(ref, None)
         if entry is not None and entry.base == number and not entry.stale and ref not in self.tombs:
             # Its one base goes with this very segment: nothing can bring it back.
-            self.reserved -= reserve(ref, entry.key, len(entry.body), self.tries)
+            self.reserved -= self.reserve(ref, entry.key, len(entry.body))
             self._unplace(entry)
             return
         bases: set[int] = set()
         if entry is not None:
-            self.reserved -= reserve(entry.ref, entry.key, len(entry.body), self.tries)
+            self.reserved -= self.reserve(entry.ref, entry.key, len(entry.body))
             self._unplace(entry)
             bases = {*entry.stale, entry.base}
         tomb = self.tombs.get(ref)
@@ -155,7 +161,7 @@
             entry = self.entries[ref]
             if entry.base == number:
                 del self.entries[ref]
-                self.reserved -= reserve(ref, entry.key, len(entry.body), self.tries)
+                self.reserved -= self.reserve(ref, entry.key, len(entry.body))
                 self._unplace(entry)
         for ref in list(segment.tombs):
             self._drop_tomb(ref, self.tombs[ref])
--- a/garnetrelay/store/store.py
+++ b/garnetrelay/store/store.py
@@ -21,7 +21,7 @@
 from garnetrelay.store import format as fmt
 from garnetrelay.store.ahead import Ahead, catch_up
 from garnetrelay.store.format import Entry, LaterVersion, Record
-from garnetrelay.store.index import TRIES, Index, Segment, begin, reserve, settle
+from garnetrelay.store.index import TRIES, Index, Segment, begin, settle
 from garnetrelay.store.storage import Folder, Storage, blocks
 
 log = logging.getLogger(__name__)
@@ -72,7 +72,13 @@
     """Appends records, keeps the live entries, and makes room. One thread uses it."""
 
     def __init__(
-        self, storage: Storage, disk_bytes: int, machine: bool = False, ahead: Ahead | None = None, tries: int = TRIES
+        self,
+        storage: Storage,
+        disk_bytes: int,
+        machine: bool = False,
+        ahead: Ahead | None = None,
+        tries: int = TRIES,
+        epochs: bool = False,
     ) -> None:
         self.storage = storage
         self.machine = machine  # on record is what outlasts the machine's power, not only this process
@@ -102,7 +108,7 @@
         self._said = False  # that it is broken
         self._spoilt = False  # the active segment may end in half a record: nothing goes behind that
         self._load(ahead)
-        self.index.allow(tries)
+        self.index.allow(tries, epochs)
 
     @classmethod
     def open(
@@ -113,16 +119,17 @@
         claim: int | None = None,
         ahead: Ahead | None = None,
         tries: int = TRIES,
+        epochs: bool = False,
     ) -> Store:
         """The store of a folder, claimed for this process unless a claim was handed to it. ``ahead``: what was read
-        of it before; ``tries``: attempts that a message may have."""
+        of it before; ``tries``: attempts that a message may have; ``epochs``: each may have an epoch on record."""
         door = Folder(folder)
         if claim is None:
             door.claim()
         else:
             door.adopt(claim)
         try:
-            return cls(door, disk_bytes, machine, ahead, tries)
+            return cls(door, disk_bytes, machine, ahead, tries, epochs)
         except BaseException:
             door.release()
             raise
@@ -169,7 +176,7 @@
 
     def has_room(self, ref: str, key: str | None, body_length: int) -> bool:
         """Whether one more message fits, with all that may be written of it."""
-        wanted = reserve(ref, key, body_length, self.index.tries)
+        wanted = self.index.reserve(ref, key, body_length)
         return not self.broken and self.sizes.admits(self.index.reserved, wanted)
 
     def taken(self, entry: Entry) -> None:
@@ -178,12 +185,13 @@
         size = self._note(fmt.taken(entry) if fresh else fmt.state(entry), entry.ref)
         self.index.base(entry, self._active.number, size)
 
-    def trying(self, ref: str, zone: str, now_ms: int) -> bool:
-        """Note an attempt; its first byte must not go out before it is on record. False: the message is not known."""
+    def trying(self, ref: str, zone: str, now_ms: int, epoch: int | None = None) -> bool:
+        """Note an attempt; its first byte must not go out before it is on record. False: the message is not known.
+        ``epoch``: in which this relay owns the message's destination."""
         entry = self.entries.get(ref)
         if entry is None:
             return False
-        size = self._note(fmt.trying(ref, zone, now_ms), ref)
+        size = self._note(fmt.trying(ref, zone, now_ms, epoch), ref)
         begin(entry, now_ms, zone)
         self.index.more(entry, self._active.number, size)
         return True
--- /dev/null
+++ b/tests/store/test_epochs.py
@@ -0,0 +1,60 @@
+"""Epochs of attempts in the journal: as they were where there are none, and read by whoever passes them over."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from garnetrelay.cli.journal import command
+from garnetrelay.store import format as fmt
+from garnetrelay.store import index
+from garnetrelay.store.format import Entry
+from garnetrelay.store.store import Store
+
+# As a relay of before the epochs wrote it: a TRY of "m-1" in "north".
+BEFORE = bytes.fromhex("a70300000012e9ec227403000001a3185c5000056d2d316e6f727468")
+
+
+def test_without_an_epoch_a_record_is_as_it_was() -> None:
+    assert fmt.trying("m-1", "north", 1_800_000_000_000) == BEFORE
+
+
+def test_an_epoch_is_read_and_passed_over_by_those_that_know_none() -> None:
+    stamped = fmt.record_at(fmt.trying("m-1", "north", 7, 1 << 47), 0)
+    plain = fmt.record_at(fmt.trying("m-1", "north", 7), 0)
+    assert stamped is not None and plain is not None
+    assert fmt.read_try(stamped) == fmt.read_try(plain) == ("m-1", 7, "north")
+    assert fmt.read_epoch(stamped) == 1 << 47 and fmt.read_epoch(plain) is None
+    assert stamped.size == plain.size + 8
+
+
+def test_half_an_epoch_is_no_record() -> None:
+    whole = fmt.trying("m-1", "north", 7, 9)
+    half = fmt.record_at(fmt.pack(fmt.Kind.TRY, whole[fmt.RECORD.size : -3]), 0)
+    assert half is not None
+    with pytest.raises(fmt.FormatError):
+        fmt.read_epoch(half)
+
+
+def test_a_store_takes_up_attempts_with_epochs(tmp_path: Path) -> None:
+    store = Store.open(tmp_path, 1_000_000, epochs=True)
+    store.taken(Entry("m-1", "safe", 4, None, 10**13, b"body"))
+    store.trying("m-1", "north", 1000, 17)
+    store.flush()
+    store.close()
+    again = Store.open(tmp_path, 1_000_000)
+    assert again.entries["m-1"].attempts == 1 and again.entries["m-1"].trying_at == 1000
+    again.close()
+    said = CliRunner().invoke(command, ["show", str(tmp_path), "--records", "--ref", "m-1"]).output
+    assert "TRY m-1 at 1000 in north epoch 17" in said
+
+
+def test_room_for_epochs_is_kept_only_where_they_are_on(tmp_path: Path) -> None:
+    for epochs, more in ((False, 0), (True, 8 * 6)):
+        (tmp_path / str(epochs)).mkdir()
+        store = Store.open(tmp_path / str(epochs), 1_000_000, tries=6, epochs=epochs)
+        store.taken(Entry("m-1", "safe", 4, None, 10**13, b"body"))
+        assert store.index.reserved == index.reserve("m-1", None, 4, 6) + more
+        store.close()
