Fencing: the epoch of an attempt goes on record and is looked at before its first byte

An attempt takes the epoch on record with it; just before the first byte, behind the record, the owners are asked once more. A lost lease is told there and the call goes out: leases only report so far.

--- a/garnetrelay/delivery/http/hosts.py
+++ b/garnetrelay/delivery/http/hosts.py
@@ -43,7 +43,19 @@
     """One call or probe: ``prepare`` gives its request at the last instant, or None to abandon it. Where some time
     may pass between that and its first byte, ``still_clear`` looks once more."""
 
-    __slots__ = ("host", "stop_at", "prepare", "still_clear", "_done", "ended", "connection", "opening", "timer", "ref")
+    __slots__ = (
+        "host",
+        "stop_at",
+        "prepare",
+        "still_clear",
+        "_done",
+        "ended",
+        "connection",
+        "opening",
+        "timer",
+        "ref",
+        "at_first_byte",
+    )
 
     def __init__(
         self,
@@ -56,6 +68,7 @@
     ) -> None:
         self.ref = ref  # of the message that it calls with; None: a probe
         self.still_clear = still_clear
+        self.at_first_byte: Callable[[], None] | None = None  # called just before it
         self.host = host
         self.stop_at = stop_at
         self.prepare = prepare
@@ -392,6 +405,8 @@
 
     def _start(self, connection: Connection, exchange: Exchange, request: bytes, recorded: bool) -> None:
         if recorded and not exchange.ended and (not self.delayed or self._still_good(connection, exchange)):
+            if exchange.at_first_byte is not None:
+                exchange.at_first_byte()
             connection.start(exchange, request)
         else:
             self.rest(connection)
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -34,6 +34,7 @@
 if TYPE_CHECKING:
     from garnetrelay.fleet.service import Fleet
     from garnetrelay.operators.service import Operators
+    from garnetrelay.ownership import Owners
     from garnetrelay.store.ahead import Ahead
     from garnetrelay.store.durability import Syncing
     from garnetrelay.upgrade.give import Giver
@@ -93,9 +94,14 @@
     started: int  # monotonic clock, as is the next
     stop_at: int
     written: bool = False  # it is on record
+    destination: int = -1  # where leases are on and this relay owns it
+    epoch: int | None = None  # the same: in which epoch, as it is on record
 
     def exchange(self) -> net.Exchange:
-        return net.Exchange(self.host, self.stop_at, self.prepare, self.done, self.still_clear, self.message.ref)
+        exchange = net.Exchange(self.host, self.stop_at, self.prepare, self.done, self.still_clear, self.message.ref)
+        if self.relay.owners is not None:
+            exchange.at_first_byte = self.fence
+        return exchange
 
     def prepare(self, address: Address) -> bytes | None:
         """The last look and the record, then the request."""
@@ -103,7 +109,9 @@
             return None
         message, zones = self.message, self.relay.config.zone_names
         name = zones[message.zone] if 0 <= message.zone < len(zones) else ""
-        self.written = self.relay.journal.trying(message.ref, name, time.time_ns() // MS)
+        if self.relay.owners is not None:
+            self.stamp(self.relay.owners)
+        self.written = self.relay.journal.trying(message.ref, name, time.time_ns() // MS, self.epoch)
         if self.written and self.relay.untried.on_try(message.ref):
             log.info("%s", self.relay.untried)
         return net.call(address, message.ref, message.key, message.body, self.stop_at) if self.written else None
@@ -112,6 +120,19 @@
         now = time.monotonic_ns()
         return now < self.stop_at and self.relay.pacer.clear_to_send(now, self.message.ref, self.host)
 
+    def stamp(self, owners: Owners) -> None:
+        """The epoch that goes on record."""
+        entry = self.relay.listed.get(self.host)
+        ownership = None if entry is None else owners.ownership(entry.dest)
+        if entry is not None and ownership is not None:
+            self.destination, self.epoch = entry.dest, ownership.epoch
+
+    def fence(self) -> None:
+        """The record took its time, or this process did not run: a lease that ended meanwhile is told. The call goes
+        out all the same, under this relay's own part of the limits: leases only report so far."""
+        if self.relay.owners is not None and self.epoch is not None:
+            self.relay.owners.still_owned(self.destination, self.epoch)
+
     def done(self, outcome: Outcome) -> None:
         relay, message = self.relay, self.message
         message.exchange = None
@@ -165,6 +186,7 @@
         self.counts = Counts(config.class_names)
         self.operators: Operators | None = None
         self.fleet: Fleet | None = None
+        self.owners: Owners | None = None  # None: no leases
         self.giver: Giver | None = None
         self.hearing: Hearing | None = None
         self.dests: set[int] = set()  # all that the list has ever named
