Leases: messages fit a datagram, name the terms, and say what a grant counts for

Need: 96 refusals of large numbers take 2,112 bytes, records of long names 8 KB; two processes with other lease lengths or numbers of controllers could make two owners.

A grant is counted from the request that it answers.

--- a/garnetrelay/fleet/leases/messages.py
+++ b/garnetrelay/fleet/leases/messages.py
@@ -10,15 +10,20 @@
 import msgspec
 from msgspec import Meta
 
-from garnetrelay.fleet.members.claims import Name
+from garnetrelay.fleet.members.claims import Name, NameOrNone
 
 MOST_PARTITIONS = 1 << 16
 MOST_EPOCH = (1 << 48) - 1
 MOST_CONTROLLERS = 9
-MOST_GRANTS = 96  # in one message: it fits a datagram of 1,200 bytes
+MOST_EPOCH_STEP = 1 << 20  # above what a controller knows: one request can't use up all epochs of a partition
+MOST_GRANTS = 48  # in one message: 48 refusals of the largest numbers take 1,056 bytes of a datagram's 1,200
+MOST_RECORDS = 48  # in one message; names of the greatest length allow 12, see ``RECORDS_SIZE``
+RECORD_HEAD = 24  # bytes of a record at most, without the relay's name
+RECORDS_SIZE = 1_050  # bytes of all records in one message
 
 PartitionNumber = Annotated[int, Meta(ge=0, lt=MOST_PARTITIONS)]
 Epoch = Annotated[int, Meta(ge=0, le=MOST_EPOCH)]
+Number32 = Annotated[int, Meta(ge=0, lt=1 << 32)]  # ``terms``: a print of the settings on which safety rests
 Number62 = Annotated[int, Meta(ge=0, lt=1 << 62)]
 Number64 = Annotated[int, Meta(ge=0, lt=1 << 64)]
 Duration = Annotated[int, Meta(ge=0, lt=1 << 50)]
@@ -52,16 +57,25 @@
 
     partition: PartitionNumber
     epoch: Epoch
-    relay: str
+    relay: NameOrNone
     session: Number62
 
+    def size(self) -> int:
+        """Bytes that it takes at most in a message (MessagePack)."""
+        return RECORD_HEAD + len(self.relay)
+
 
 class Acquire(msgspec.Struct, tag="acquire", array_like=True, frozen=True):
-    """A relay asks for partitions, each in an epoch; this renews its lease there too."""
+    """A relay asks for partitions, each in an epoch.
+
+    The controller's lease for the session runs anew from here, but the relay may count only the grants that the answer
+    names from this request: others may have been lost to another session since its last renewal (no digest here).
+    """
 
     session: Session
     number: Number62  # rises with each request of the session to this controller
     boot: Number62  # of the controller, as the relay knows it; 0: not yet known
+    terms: Number32
     grants: Annotated[list[Grant], Meta(max_length=MOST_GRANTS)]
 
 
@@ -71,6 +85,7 @@
     session: Session
     number: Number62
     boot: Number62
+    terms: Number32
     count: Annotated[int, Meta(ge=0, le=MOST_PARTITIONS)]
     digest: Number64  # of the grants, see ``digest`` in ``holder.py``
 
@@ -92,7 +107,7 @@
     number: Number62  # of the request
     accepted: bool  # the lease runs on from the receipt of the request
     matches: bool  # a renewal's count and digest are those on record
-    granted: Annotated[list[Grant], Meta(max_length=MOST_GRANTS)]
+    granted: Annotated[list[Grant], Meta(max_length=MOST_GRANTS)]  # of a renewal that does not match: some on record
     refused: Annotated[list[Refusal], Meta(max_length=MOST_GRANTS)]
 
 
@@ -110,8 +125,8 @@
 
     controller: ControllerNumber
     boot: Number62
-    number: Number62
-    records: Annotated[list[Record], Meta(max_length=MOST_GRANTS)]
+    number: Number62  # of the request
+    records: Annotated[list[Record], Meta(max_length=MOST_RECORDS)]
     following: Annotated[int, Meta(ge=-1, lt=MOST_PARTITIONS)]
 
 
