--- a/garnetrelay/fleet/leases/messages.py
+++ b/garnetrelay/fleet/leases/messages.py
@@ -87,7 +87,7 @@
     boot: Number62
     terms: Number32
     count: Annotated[int, Meta(ge=0, le=MOST_PARTITIONS)]
-    digest: Number64  # of the grants, see ``digest`` in ``holder.py``
+    digest: Number64  # of the grants, see ``digest.py``
 
 
 class Release(msgspec.Struct, tag="release", array_like=True, frozen=True):
@@ -105,8 +105,8 @@
     controller: ControllerNumber
     boot: Number62
     number: Number62  # of the request
-    accepted: bool  # the lease runs on from the receipt of the request
-    matches: bool  # a renewal's count and digest are those on record
+    accepted: bool  # done; after an acquire or renewal the lease runs on from the receipt. False: not ready, see ``boot``
+    matches: bool  # False: a renewal whose count and digest are not those on record; it extends nothing
     granted: Annotated[list[Grant], Meta(max_length=MOST_GRANTS)]  # of a renewal that does not match: some on record
     refused: Annotated[list[Refusal], Meta(max_length=MOST_GRANTS)]
 
