Merge leases' decisions; their file names its longest lease, messages fit by their bounds

Need: the decisions of controllers and holders, for the processes that carry them out; records.py is a name of theirs.

Change: the file of records is records_file.py, and its header has the longest lease that was ever granted by it, as a start under other settings has to wait it out.

--- a/garnetrelay/fleet/leases/records.py
+++ b/garnetrelay/fleet/leases/records_file.py
@@ -1,6 +1,6 @@
 """What a controller has granted, on disk: one append-only file, replaced by a short one when it has grown.
 
-    header: magic, version, number of the controller, count of partitions, bytes of the snapshot, CRC-32 of these
+    header: magic, version, number of the controller, count of partitions, lease, bytes of the snapshot, CRC-32 of these
     batches: a mark, the payload's length, its CRC-32, the payload (a MessagePack list of records)
 
 The snapshot is the first batch and was put in place whole, so damage in it is never a torn write. Behind it a batch that
@@ -24,7 +24,7 @@
 FILE = "grants"
 MAGIC = b"GRLEASES"
 VERSION = 1
-HEADER = struct.Struct(">8sHHIII")
+HEADER = struct.Struct(">8sHHIQII")
 BATCH = struct.Struct(">BII")
 MARK = 0xA9
 LEAST_COMPACTION = 1 << 16  # bytes: a shorter file is read in a moment
@@ -45,13 +45,16 @@
 class RecordsFile:
     """The records of one controller. ``append`` runs off the loop, one call at a time."""
 
-    def __init__(self, folder: Path, controller: int, partitions: int) -> None:
+    def __init__(self, folder: Path, controller: int, partitions: int, lease: int) -> None:
+        """``lease`` in nanoseconds."""
         self.path = folder / FILE
         self.cut_bytes = 0  # of a torn write, at the start
         self.compactions = 0
+        self.last_lease = 0  # the longest for which the file's processes may have granted; ns
         self._folder = Folder(folder)
         self._controller = controller
         self._partitions = partitions
+        self._lease = lease
         self._latest: dict[int, Record] = {}  # by partition
         self._size = 0  # bytes that count; 0: there is no file
         self._compact_at = 0
@@ -124,13 +127,15 @@
         self.cut_bytes = len(data) - end
         self._size = end
         self._set_limit(snapshot)
+        if self._lease > self.last_lease:
+            self._create(self._latest)  # from now on grants may last longer: that has to be on record first
         return list(self._latest.values())
 
     def _check_header(self, data: bytes) -> int:
         """Bytes of the snapshot."""
         if len(data) < HEADER.size:
             raise RecordsError(f"{self.path}: damaged: no header")
-        magic, version, controller, partitions, snapshot, checksum = HEADER.unpack_from(data)
+        magic, version, controller, partitions, self.last_lease, snapshot, checksum = HEADER.unpack_from(data)
         if magic != MAGIC or zlib.crc32(data[: HEADER.size - 4]) != checksum:
             raise RecordsError(f"{self.path}: damaged: no header of a controller's records")
         if version != VERSION:
@@ -154,7 +159,8 @@
         try:
             self._folder.replace(FILE, data, sync=True)
         except OSError:
-            self._undo(self._remove)
+            if not self._size:
+                self._undo(self._remove)
             raise
         self._size = len(data)
         self._set_limit(snapshot)
@@ -193,14 +199,14 @@
     def _whole(self, latest: dict[int, Record]) -> tuple[bytes, int]:
         """A file with these records alone, and the bytes of its snapshot."""
         batch = _batch(list(latest.values()))
-        return _header(self._controller, self._partitions, len(batch)) + batch, len(batch)
+        return _header(self._controller, self._partitions, self._lease, len(batch)) + batch, len(batch)
 
     def _set_limit(self, snapshot: int) -> None:
         self._compact_at = max(LEAST_COMPACTION, GROWTH * (HEADER.size + snapshot))
 
 
-def _header(controller: int, partitions: int, snapshot: int) -> bytes:
-    head = HEADER.pack(MAGIC, VERSION, controller, partitions, snapshot, 0)[:-4]
+def _header(controller: int, partitions: int, lease: int, snapshot: int) -> bytes:
+    head = HEADER.pack(MAGIC, VERSION, controller, partitions, lease, snapshot, 0)[:-4]
     return head + zlib.crc32(head).to_bytes(4, "big")
 
 
--- a/tests/fleet/leases/test_lease_codec.py
+++ b/tests/fleet/leases/test_lease_codec.py
@@ -16,6 +16,8 @@
     MOST_EPOCH,
     MOST_GRANTS,
     MOST_PARTITIONS,
+    MOST_RECORDS,
+    RECORDS_SIZE,
     Acquire,
     Answer,
     Grant,
@@ -29,6 +31,7 @@
     Session,
 )
 from garnetrelay.fleet.members import frames as fr
+from garnetrelay.fleet.members.claims import MOST_NAME
 from garnetrelay.fleet.signing import HEAD, Refused
 
 SECRET, OTHER = b"the secret of the tests", b"a secret of somebody else"
@@ -37,8 +40,8 @@
 REFUSALS = [Refusal(partition, 3, 10**9) for partition in range(10)]
 RECORDS = [Record(partition, 3, "r7", 5) for partition in range(10)]
 MESSAGES: list[Message] = [
-    Acquire(SESSION, 1, 2, GRANTS),
-    Renew(SESSION, 1, 2, MOST_PARTITIONS, (1 << 64) - 1),
+    Acquire(SESSION, 1, 2, 7, GRANTS),
+    Renew(SESSION, 1, 2, 7, MOST_PARTITIONS, (1 << 64) - 1),
     Release(SESSION, 1, 2, []),
     Answer(4, 2, 1, True, False, GRANTS[:20], REFUSALS),
     ReadRecords(0, 2, 1, MOST_PARTITIONS - 1),
@@ -74,32 +77,34 @@
     assert cause(codec, b"GL" + members.sign(body, VERSION)[2:]) == "secret"
 
 
+LONGEST = Session("n" * MOST_NAME, (1 << 62) - 1)
+TOP = (1 << 62) - 1
+TOP_GRANTS = [Grant(MOST_PARTITIONS - 1, MOST_EPOCH)] * MOST_GRANTS
+TOP_REFUSALS = [Refusal(MOST_PARTITIONS - 1, MOST_EPOCH, (1 << 50) - 1)] * MOST_GRANTS
+SHORT_RECORD, LONG_RECORD = (Record(MOST_PARTITIONS - 1, MOST_EPOCH, "n" * size, TOP) for size in (1, MOST_NAME))
+
+
 @pytest.mark.parametrize(
     "message",
     [
-        Acquire(SESSION, 1, 2, [Grant(65535, MOST_EPOCH - number) for number in range(MOST_GRANTS)]),
-        Release(SESSION, 1, 2, [Grant(65535, MOST_EPOCH - number) for number in range(MOST_GRANTS)]),
-        Answer(0, 2, 1, True, True, [], [Refusal(number, MOST_EPOCH, 1 << 49) for number in range(MOST_GRANTS)]),
-        Answer(0, 2, 1, True, True, GRANTS, [Refusal(number, MOST_EPOCH, 1 << 49) for number in range(MOST_GRANTS)]),
-        Records(0, 2, 1, [Record(number, MOST_EPOCH, "n" * 64, 1 << 61) for number in range(MOST_GRANTS)], -1),
+        Acquire(LONGEST, TOP, TOP, (1 << 32) - 1, TOP_GRANTS),
+        Release(LONGEST, TOP, TOP, TOP_GRANTS),
+        Renew(LONGEST, TOP, TOP, (1 << 32) - 1, MOST_PARTITIONS, (1 << 64) - 1),
+        Answer(8, TOP, TOP, True, True, TOP_GRANTS, []),
+        Answer(8, TOP, TOP, True, True, [], TOP_REFUSALS),
+        Answer(8, TOP, TOP, True, True, TOP_GRANTS[:24], TOP_REFUSALS[:24]),
+        Records(8, TOP, TOP, [SHORT_RECORD] * min(MOST_RECORDS, RECORDS_SIZE // SHORT_RECORD.size()), 65535),
+        Records(8, TOP, TOP, [LONG_RECORD] * (RECORDS_SIZE // LONG_RECORD.size()), 65535),
     ],
 )
-def test_what_is_too_long_for_a_datagram_goes_with_fewer_entries(message: Message) -> None:
+def test_the_longest_messages_fit_a_datagram(message: Message) -> None:
     codec = Codec([SECRET])
-    data = codec.encode(message)
-    found = codec.decode(data)
-    assert MOST_DATAGRAM - 200 < len(data) <= MOST_DATAGRAM
-    match message, found:
-        case ((Acquire() | Release()), (Acquire() | Release())):
-            assert found.grants and found.grants == message.grants[: len(found.grants)]
-        case Answer(), Answer():
-            assert found.granted == message.granted
-            assert found.refused and found.refused == message.refused[: len(found.refused)]
-        case Records(), Records():
-            assert found.records == message.records[: len(found.records)]
-            assert found.following == message.records[len(found.records)].partition
-        case _:
-            raise AssertionError(found)
+    assert codec.decode(codec.encode(message)) == message
+
+
+def test_what_does_not_fit_is_not_sent() -> None:
+    with pytest.raises(ValueError, match="Records takes"):
+        Codec([SECRET]).encode(Records(8, TOP, TOP, [LONG_RECORD] * MOST_RECORDS, -1))
 
 
 def hostile(draw: random.Random, codec: Codec, good: list[bytes]) -> Iterator[tuple[str, bytes]]:
--- a/tests/fleet/leases/test_lease_records.py
+++ b/tests/fleet/leases/test_records_file.py
@@ -8,23 +8,24 @@
 
 import pytest
 
-from garnetrelay.fleet.leases import records as lease_records
+from garnetrelay.fleet.leases import records_file
 from garnetrelay.fleet.leases.messages import Record
-from garnetrelay.fleet.leases.records import FILE, RecordsBroken, RecordsError, RecordsFile
+from garnetrelay.fleet.leases.records_file import FILE, RecordsBroken, RecordsError, RecordsFile
 
+LEASE = 15 * 10**9
 FIRST = [Record(0, 1, "r1", 11), Record(1, 1, "r2", 22)]
 SECOND = [Record(1, 2, "r3", 33)]
 THIRD = [Record(2, 5, "", 0)]
 
 
 def opened(folder: Path) -> RecordsFile:
-    found = RecordsFile(folder, 3, 64)
+    found = RecordsFile(folder, 3, 64, LEASE)
     found.open()
     return found
 
 
 def read(folder: Path) -> list[Record] | None:
-    found = RecordsFile(folder, 3, 64)
+    found = RecordsFile(folder, 3, 64, LEASE)
     try:
         return found.open()
     finally:
@@ -33,7 +34,7 @@
 
 def written(folder: Path) -> bytes:
     """A file with three batches."""
-    file = RecordsFile(folder, 3, 64)
+    file = RecordsFile(folder, 3, 64, LEASE)
     file.initialize()
     file.open()
     for batch in (FIRST, SECOND, THIRD):
@@ -49,7 +50,7 @@
 
 def test_no_file_is_told_from_an_empty_one(tmp_path: Path) -> None:
     assert read(tmp_path) is None
-    file = RecordsFile(tmp_path, 3, 64)
+    file = RecordsFile(tmp_path, 3, 64, LEASE)
     file.initialize()
     assert read(tmp_path) == []
     with pytest.raises(RecordsError, match="there is one already"):
@@ -67,10 +68,10 @@
 
 def test_a_torn_last_batch_is_cut_wherever_it_tore(tmp_path: Path) -> None:
     whole = written(tmp_path)
-    cut_from = len(whole) - lease_records.BATCH.size - len(lease_records._encoder.encode(THIRD))
+    cut_from = len(whole) - records_file.BATCH.size - len(records_file._encoder.encode(THIRD))
     for end in range(cut_from + 1, len(whole)):
         (tmp_path / FILE).write_bytes(whole[:end])
-        file = RecordsFile(tmp_path, 3, 64)
+        file = RecordsFile(tmp_path, 3, 64, LEASE)
         assert file.open() == [FIRST[0], *SECOND] and file.cut_bytes == end - cut_from
         file.append(THIRD)  # it goes on from there
         file.close()
@@ -79,7 +80,7 @@
 
 def test_damage_in_the_middle_is_refused_at_every_byte(tmp_path: Path) -> None:
     whole = written(tmp_path)
-    last = len(whole) - lease_records.BATCH.size - len(lease_records._encoder.encode(THIRD))
+    last = len(whole) - records_file.BATCH.size - len(records_file._encoder.encode(THIRD))
     for place in range(last):
         (tmp_path / FILE).write_bytes(whole[:place] + bytes([whole[place] ^ 0x55]) + whole[place + 1 :])
         with pytest.raises(RecordsError) as refused:
@@ -94,7 +95,7 @@
     file.append(FIRST)  # a snapshot alone
     file.close()
     whole = (tmp_path / FILE).read_bytes()
-    for data in (whole[:-1], whole[: lease_records.HEADER.size], whole[:-1] + bytes([whole[-1] ^ 1])):
+    for data in (whole[:-1], whole[: records_file.HEADER.size], whole[:-1] + bytes([whole[-1] ^ 1])):
         (tmp_path / FILE).write_bytes(data)
         with pytest.raises(RecordsError, match="damaged at byte"):
             read(tmp_path)
@@ -107,7 +108,7 @@
 def test_a_file_of_something_else_is_refused(tmp_path: Path, controller: int, partitions: int, said: str) -> None:
     written(tmp_path)
     with pytest.raises(RecordsError, match=said):
-        RecordsFile(tmp_path, controller, partitions).open()
+        RecordsFile(tmp_path, controller, partitions, LEASE).open()
 
 
 def test_a_folder_has_one_controller(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -200,7 +201,7 @@
 @pytest.mark.parametrize("placed", [True, False])
 def test_a_compaction_that_fails_loses_nothing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, placed: bool) -> None:
     """Also where only the sync of the folder's names fails: the short file is in place then."""
-    monkeypatch.setattr(lease_records, "LEAST_COMPACTION", 200)
+    monkeypatch.setattr(records_file, "LEAST_COMPACTION", 200)
     written(tmp_path)
     file = opened(tmp_path)
     with monkeypatch.context() as patched:
@@ -218,3 +219,16 @@
 
 def fail_names(*_: object) -> None:
     raise OSError(errno.EIO, "Input/output error")
+
+
+def test_the_longest_lease_is_on_record_before_anything_is_granted_for_it(tmp_path: Path) -> None:
+    def last_lease(lease: int) -> int:
+        file = RecordsFile(tmp_path, 3, 64, lease)
+        assert file.open() == [FIRST[0], *SECOND, *THIRD]
+        file.close()
+        return file.last_lease
+
+    written(tmp_path)
+    assert last_lease(LEASE) == LEASE
+    assert last_lease(2 * LEASE) == LEASE  # that of the process before
+    assert last_lease(LEASE) == 2 * LEASE == last_lease(LEASE)
