--- /dev/null
+++ b/garnetrelay/config/addresses.py
@@ -0,0 +1,24 @@
+"""Addresses in options files."""
+
+from __future__ import annotations
+
+import ipaddress
+
+from garnetrelay.fleet.members.claims import Place
+
+
+def place(text: str, option: str, listens: bool = False) -> Place:
+    """IP:port; names are not looked up. ``listens``: any address and any port of this machine may stand there.
+
+    ValueError in one line that begins with the option's name.
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        address = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        raise ValueError(f"{option}: '{text}' is not IP:port") from None
+    if not (port.isascii() and port.isdigit() and (0 if listens else 1) <= int(port) <= 65535):
+        raise ValueError(f"{option}: '{text}' is not IP:port")
+    if address.is_unspecified and not listens:
+        raise ValueError(f"{option}: nobody can be reached at '{text}'")
+    return Place(str(address), int(port))
--- /dev/null
+++ b/garnetrelay/config/controller.py
@@ -0,0 +1,80 @@
+"""A controller's options file (TOML). Whatever is wrong with it is said in one line, before anything starts."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from garnetrelay.config.addresses import place
+from garnetrelay.config.deployment import Address
+from garnetrelay.config.fleet import read_secrets
+from garnetrelay.config.leases import TermsTable, check_controllers, settings
+from garnetrelay.fleet.leases.settings import Settings
+from garnetrelay.fleet.members.claims import Place
+
+
+class ControllerTable(TermsTable, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """As the file has it."""
+
+    number: Annotated[int, Meta(ge=0)]  # its place in `controllers`, from 0
+    listen: str  # IP:port for datagrams
+    folder: str  # for its records
+    secret_file: str  # the fleet's
+    operators: str = ""  # host:port where staff ask for its figures; empty: nowhere
+
+
+class Controller(msgspec.Struct, frozen=True):
+    """The same, checked."""
+
+    number: int
+    listen: Place
+    places: tuple[Place, ...]
+    folder: Path
+    secret_file: Path
+    operators: Address | None
+    settings: Settings
+
+    def secrets(self) -> list[bytes]:
+        """What the file has now; ValueError in one line."""
+        return read_secrets(self.secret_file)
+
+
+def read(path: Path) -> Controller:
+    """The options of a file; ValueError in one plain line where a controller can't start with them."""
+    try:
+        return _check(msgspec.convert(tomllib.loads(path.read_text()), ControllerTable), path.parent)
+    except OSError as error:
+        raise ValueError(f"{path}: {error.strerror}") from None
+    except ValueError as error:  # what the libraries raise is one too
+        raise ValueError(f"{path}: {error}") from None
+
+
+def _check(table: ControllerTable, folder: Path) -> Controller:
+    places = check_controllers(table)
+    if table.number >= len(places):
+        raise ValueError(f"number: {table.number} of {len(places)} controllers: they are counted from 0")
+    listen = place(table.listen, "listen", listens=True)
+    if not listen.port:
+        raise ValueError("listen: port 0: the others could not find it")
+    found = Controller(
+        number=table.number,
+        listen=listen,
+        places=places,
+        folder=folder / table.folder,
+        secret_file=folder / table.secret_file,
+        operators=_operators(table.operators),
+        settings=settings(table),
+    )
+    found.secrets()
+    return found
+
+
+def _operators(text: str) -> Address | None:
+    try:
+        return Address.parse(text) if text else None
+    except ValueError as error:
+        raise ValueError(f"operators: {error}") from None
--- a/garnetrelay/config/fleet.py
+++ b/garnetrelay/config/fleet.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
-import ipaddress
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta
 
+from garnetrelay.config.addresses import place
 from garnetrelay.fleet.members.claims import MOST_NAME, UNKNOWN_ZONE, Place, Zone
 from garnetrelay.fleet.members.settings import MS, SECOND, Settings
 from garnetrelay.fleet.signing import LEAST_SECRET
 
+if TYPE_CHECKING:
+    from garnetrelay.config.leases import Leases
+
 MOST_SEEDS = 16
 MOST_SECRETS = 2  # during a change
 DESCRIPTORS = 16  # a datagram socket, a listener, exchanges (12), the life on its way to the disk
@@ -32,6 +35,7 @@
     most_members: Annotated[int, Meta(ge=2, le=1000)] = 1000
     frames: Literal[1, 2] = 2  # the highest version that is spoken: 1 while relays of before are in the fleet
     zone: Zone = UNKNOWN_ZONE  # where this relay stands, 1 to 255; 0: not said
+    leases: dict[str, Any] | None = None  # typed by ``config/leases.py``, which is loaded only where it stands
 
 
 class Fleet(msgspec.Struct, frozen=True):
@@ -43,6 +47,7 @@
     secret_file: Path
     settings: Settings
     zone: int = UNKNOWN_ZONE
+    leases: Leases | None = None  # who owns which destinations; None: nobody
 
     def secrets(self) -> list[bytes]:
         """What the file has now; ValueError in one line."""
@@ -71,15 +76,15 @@
         raise ValueError(f"fleet: the relay's name '{name[:80]}' is not 1 to {MOST_NAME} printable characters")
     if table.probe_timeout_ms * 2 > table.probe_every_ms:
         raise ValueError("fleet.probe_timeout_ms: half of probe_every_ms at most")
-    listen = place(table.listen, "listen", zero=True)
-    seeds = tuple(place(seed, "seeds") for seed in table.seeds)
+    listen = place(table.listen, "fleet.listen", listens=True)
+    seeds = tuple(place(seed, "fleet.seeds") for seed in table.seeds)
     if len(set(seeds)) < len(seeds):
         raise ValueError("fleet.seeds: one stands twice")
     secret_file = folder / table.secret_file
     read_secrets(secret_file)
     return Fleet(
         listen,
-        place(table.advertise, "advertise") if table.advertise else None,
+        place(table.advertise, "fleet.advertise") if table.advertise else None,
         seeds,
         secret_file,
         Settings(
@@ -92,18 +97,11 @@
             versions=table.frames,
         ),
         table.zone,
+        None if table.leases is None else _leases(table.leases),
     )
 
 
-def place(text: str, what: str, zero: bool = False) -> Place:
-    """IP:port; names are not looked up."""
-    host, _, port = text.rpartition(":")
-    try:
-        address = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
-    except ValueError:
-        raise ValueError(f"fleet.{what}: '{text}' is not IP:port") from None
-    if not (port.isascii() and port.isdigit() and (0 if zero else 1) <= int(port) <= 65535):
-        raise ValueError(f"fleet.{what}: '{text}' is not IP:port")
-    if address.is_unspecified and not zero:
-        raise ValueError(f"fleet.{what}: nobody can be reached at '{text}'")
-    return Place(str(address), int(port))
+def _leases(raw: dict[str, Any]) -> Leases:
+    from garnetrelay.config.leases import check  # only where it stands
+
+    return check(raw)
