Leases: a relay asks for what its view assigns to it, and says what it owns

Change: fleet/leases/service.py carries out the holder's decisions over the fleet's socket, which hands datagrams of other protocols on by their first bytes; wishes follow the members' view where its numbers may be relied on. FLEET OWNERS, FLEET CONTROLLERS and figures at the operators' door; garnetrelay fleet owners and controllers. Without the table nothing of it is imported. Processes: five controllers and three relays under stops, kills and a lost folder, watched from outside.

--- a/garnetrelay/cli/fleet.py
+++ b/garnetrelay/cli/fleet.py
@@ -7,6 +7,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from garnetrelay.cli import controller
 from garnetrelay.cli.operators import ADDRESS, call
 from garnetrelay.config.deployment import Address
 from garnetrelay.fleet.words import Line, State
@@ -57,7 +58,7 @@
             each.by,
             each.path,
         )
-    Console(width=200 if not Console().is_terminal else None).print(table)
+    _print(table)
 
 
 @command.command()
@@ -75,3 +76,71 @@
     """Let this relay leave the fleet until it is started anew: it serves on, and acts as a relay alone."""
     call(address, "FLEET LEAVE")
     click.echo("it has left")
+
+
+@command.command()
+@ADDRESS
+@click.argument("destination", required=False, type=click.IntRange(min=0))
+@click.option("--json", "as_json", is_flag=True, help="One JSON object a line, as the relay says it.")
+def owners(address: Address, destination: int | None, as_json: bool) -> None:
+    """The partitions that this relay owns, with epochs; or whether it owns DESTINATION, and who should."""
+    lines = told(call(address, "FLEET OWNERS" if destination is None else f"FLEET OWNERS {destination}"))
+    if as_json:
+        click.echo("\n".join(lines))
+    elif destination is None:
+        _say_owned(lines)
+    else:
+        _say_destination(lines[0])
+
+
+def _say_owned(lines: list[str]) -> None:
+    from garnetrelay.fleet.leases.status import OwnedLine, OwnersState
+
+    state: OwnersState = msgspec.json.decode(lines[0], type=OwnersState)
+    click.echo(
+        f"{state.name}, session {state.session}: owns {state.owned} of {state.should_own} partitions that should be its "
+        f"own, of {state.partitions}; {len(state.reached)} of {state.controllers} controllers reached, "
+        f"{state.quorum} are needed"
+    )
+    table = Table("partition", "epoch", "for s more", box=None)
+    for line in lines[1:]:
+        each: OwnedLine = msgspec.json.decode(line, type=OwnedLine)
+        table.add_row(str(each.partition), str(each.epoch), f"{each.left:.1f}")
+    _print(table)
+
+
+def _say_destination(line: str) -> None:
+    from garnetrelay.fleet.leases.status import DestinationLine
+
+    each: DestinationLine = msgspec.json.decode(line, type=DestinationLine)
+    owned = "does not own it" if each.epoch is None else f"owns it in epoch {each.epoch} for {_seconds(each.left)} s more"
+    click.echo(
+        f"destination {each.destination}, partition {each.partition}: this relay {owned}; "
+        f"by its view it should be {each.should_own or 'nobody'}'s"
+    )
+
+
+@command.command()
+@ADDRESS
+@click.option("--json", "as_json", is_flag=True, help="One JSON object a line, as the relay says it.")
+def controllers(address: Address, as_json: bool) -> None:
+    """Each controller as this relay sees it."""
+    from garnetrelay.fleet.leases.status import ControllerLine
+
+    lines = told(call(address, "FLEET CONTROLLERS"))
+    if as_json:
+        click.echo("\n".join(lines))
+        return
+    table = Table("controller", "at", "accepted s ago", "counts", "failures since", "votes", box=None)
+    for line in lines:
+        each: ControllerLine = msgspec.json.decode(line, type=ControllerLine)
+        counts = "yes" if each.counts else "no"
+        table.add_row(str(each.number), each.place, _seconds(each.accepted), counts, str(each.failures), str(each.votes))
+    _print(table)
+
+
+def _print(table: Table) -> None:
+    Console(width=200 if not Console().is_terminal else None).print(table)
+
+
+command.add_command(controller.command)
--- a/garnetrelay/fleet/leases/holder.py
+++ b/garnetrelay/fleet/leases/holder.py
@@ -9,7 +9,7 @@
 import logging
 import random
 from collections import Counter
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -82,6 +82,11 @@
         found = ((partition, self.ownership(partition, now)) for partition in self._claims)
         return {partition: ownership for partition, ownership in found if ownership is not None}
 
+    @property
+    def links(self) -> Sequence[Link]:
+        """What is known of each controller, by number; to be read only."""
+        return self._links
+
     @property
     def wished(self) -> Collection[int]:
         """Partitions that it should own."""
--- /dev/null
+++ b/garnetrelay/fleet/leases/status.py
@@ -0,0 +1,113 @@
+"""What staff are told of leases by a relay: lines, and figures in the text form of Prometheus. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+
+from garnetrelay.fleet.leases.service import Leases
+from garnetrelay.operators.figures import escaped
+
+
+class OwnersState(msgspec.Struct, frozen=True):
+    """This relay's session."""
+
+    name: str
+    session: int
+    partitions: int
+    should_own: int
+    owned: int
+    controllers: int
+    quorum: int
+    reached: list[int]  # controllers that accepted a request that still counts
+
+
+class OwnedLine(msgspec.Struct, frozen=True):
+    """A partition that this relay owns."""
+
+    partition: int
+    epoch: int
+    until: int  # nanoseconds by ``garnetrelay.fleet.clock``
+    left: float  # seconds
+
+
+class DestinationLine(msgspec.Struct, frozen=True):
+    """A destination, as this relay sees it."""
+
+    destination: int
+    partition: int
+    should_own: str  # a relay's name; empty: not known
+    epoch: int | None = None  # None: this relay does not own it
+    until: int | None = None
+    left: float | None = None
+
+
+class ControllerLine(msgspec.Struct, frozen=True):
+    """A controller, as this relay sees it. Seconds; None: never."""
+
+    number: int
+    place: str
+    accepted: float | None  # since the sending of the latest request that it accepted
+    counts: bool  # that request still counts towards majorities
+    failures: int  # requests in a row since, with no answer or not accepted
+    votes: int  # partitions that it has granted to this relay
+
+
+def owners(leases: Leases, now: int) -> Iterator[OwnersState | OwnedLine]:
+    """This session, then all that it owns."""
+    settings, owned = leases.config.settings, leases.holder.owned(now)
+    yield OwnersState(
+        leases.name,
+        leases.session.number,
+        settings.partitions,
+        len(leases.holder.wished),
+        len(owned),
+        settings.controllers,
+        settings.quorum,
+        leases.holder.reached(now),
+    )
+    for partition, (epoch, until) in sorted(owned.items()):
+        yield OwnedLine(partition, epoch, until, round((until - now) / 1e9, 3))
+
+
+def destination(leases: Leases, number: int, now: int) -> DestinationLine:
+    """One destination."""
+    partition = leases.partition(number)
+    found = leases.holder.ownership(partition, now)
+    should_own = leases.should_own(partition)
+    if found is None:
+        return DestinationLine(number, partition, should_own)
+    return DestinationLine(number, partition, should_own, found.epoch, found.until, round((found.until - now) / 1e9, 3))
+
+
+def controllers(leases: Leases, now: int) -> Iterator[ControllerLine]:
+    """All controllers, by number."""
+    reached = leases.holder.reached(now)
+    for link, place in zip(leases.holder.links, leases.config.places, strict=True):
+        yield ControllerLine(
+            link.controller,
+            str(place),
+            None if link.accepted_at is None else round((now - link.accepted_at) / 1e9, 3),
+            link.controller in reached,
+            link.failures,
+            len(link.votes),
+        )
+
+
+def figures(leases: Leases, now: int) -> str:
+    """The figures of leases, a line each."""
+    holder = leases.holder
+    rows: list[tuple[str, int]] = [
+        ("partitions_wished", len(holder.wished)),
+        ("partitions_owned", len(holder.owned(now))),
+        ("controllers_reached", len(holder.reached(now))),
+        ("fenced", leases.fenced),
+        ("datagrams_in", leases.datagrams_in),
+        ("datagrams_out", leases.datagrams_out),
+        ("bytes_in", leases.bytes_in),
+        ("bytes_out", leases.bytes_out),
+    ]
+    rows += [(f'events{{kind="{escaped(kind.lower())}"}}', count) for kind, count in sorted(holder.figures.items())]
+    rows += [(f'datagrams_refused{{cause="{escaped(cause)}"}}', count) for cause, count in sorted(leases.refused.items())]
+    return "".join(f"relay_leases_{name} {value}\n" for name, value in rows)
--- a/garnetrelay/fleet/service.py
+++ b/garnetrelay/fleet/service.py
@@ -8,9 +8,9 @@
 import random
 import secrets
 import time
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -24,6 +24,9 @@
 from garnetrelay.fleet.members.view import FleetView
 from garnetrelay.fleet.transport import EXCHANGE_TIME, Stream, Transport
 
+if TYPE_CHECKING:
+    from garnetrelay.fleet.leases.service import Leases
+
 log = logging.getLogger(__name__)
 
 MOST_TASKS = 64
@@ -61,6 +64,7 @@
         self.closed = False
         self.transport = Transport(fr.Codec(config.secrets()), self._heard)
         self.members: Members | None = None
+        self.leases: Leases | None = None  # None: not switched on
         self._passed = None if passed is None else msgspec.convert(passed, Passing)
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
@@ -99,16 +103,34 @@
             )
             self._carry_out(self.members.go_on_from(now, passed.claims))
         log.info("fleet: %s hears at %s, life %d", self.name, found, own.life)
+        self._start_leases()
         self._tick()
         return found
 
+    def _start_leases(self) -> None:
+        if self.config.leases is None:
+            return
+        from garnetrelay.fleet.leases import codec  # only where they are switched on
+        from garnetrelay.fleet.leases.service import Leases
+
+        assert self.members is not None
+        self.leases = Leases(
+            self.config.leases, self.name, self.config.secrets(), self.members, self.transport.send_bytes
+        )
+        self.transport.protocols[codec.MAGIC] = self.leases.hear
+        self.leases.start()
+
     def leave(self) -> None:
         """Tell the others that this life ends."""
         if self.members is not None and not self.closed:
+            if self.leases is not None:
+                self.leases.leave()
             self._carry_out(self.members.leave(time.monotonic_ns()))
 
     def close(self) -> None:
         """Say and hear nothing any more; the address is free at once."""
+        if self.leases is not None:
+            self.leases.close()
         self.closed = True
         if self._timer is not None:
             self._timer.cancel()
@@ -127,7 +149,10 @@
     def read_secrets(self) -> None:
         """SIGHUP: the secrets as their file has them now; one that can't be used changes nothing."""
         try:
-            self.transport.codec = fr.Codec(self.config.secrets())
+            found = self.config.secrets()
+            self.transport.codec = fr.Codec(found)
+            if self.leases is not None:
+                self.leases.read_secrets(found)
         except ValueError as error:
             log.error("fleet: the old secrets stay: %s", error)
         else:
@@ -144,23 +169,37 @@
         """This relay and all others, a JSON object a line."""
         assert self.members is not None
         now = time.monotonic_ns()
-        return (
-            "\n".join(
-                msgspec.json.encode(each).decode()
-                for each in (words.state(self.members, now), *words.lines(self.members, now))
-            )
-            + "\n"
-        )
+        return _json_lines((words.state(self.members, now), *words.lines(self.members, now)))
 
     def explain(self, name: str) -> list[str] | None:
         """Why a member is held for what it is."""
         assert self.members is not None
         return words.explain(self.members, name, time.monotonic_ns())
 
+    def owners(self, destination: int | None) -> str | None:
+        """What this relay owns, a JSON object a line, or one destination; None where leases are not switched on."""
+        if self.leases is None:
+            return None
+        from garnetrelay.fleet import clock
+        from garnetrelay.fleet.leases import status
+
+        if destination is None:
+            return _json_lines(status.owners(self.leases, clock.now()))
+        return _json_lines([status.destination(self.leases, destination, clock.now())])
+
+    def controllers(self) -> str | None:
+        """Each controller as this relay sees it, a JSON object a line; None where leases are not switched on."""
+        if self.leases is None:
+            return None
+        from garnetrelay.fleet import clock
+        from garnetrelay.fleet.leases import status
+
+        return _json_lines(status.controllers(self.leases, clock.now()))
+
     def figures(self) -> str:
         assert self.members is not None
         transport = self.transport
-        return words.figures(
+        found = words.figures(
             self.members,
             transport.refused,
             transport.frames_out,
@@ -168,6 +207,12 @@
             transport.bytes_out,
             time.monotonic_ns(),
         )
+        if self.leases is None:
+            return found
+        from garnetrelay.fleet import clock
+        from garnetrelay.fleet.leases import status
+
+        return found + status.figures(self.leases, clock.now())
 
     # ---- what happens
 
@@ -191,6 +236,8 @@
                     self._spawn(self._keep(life))
                 case Note(text, level):
                     log.log(level, "fleet: %s", text)
+        if self.leases is not None:
+            self.leases.look()
         if self._timer is not None:
             self._timer.cancel()
         if not self.closed:
@@ -255,3 +302,7 @@
             raise ValueError("not all that it holds")
         _, effects = self.members.hear_whole(time.monotonic_ns(), theirs, whole.ask, asked_at)
         self._carry_out(effects)
+
+
+def _json_lines(found: Iterable[msgspec.Struct]) -> str:
+    return "".join(f"{msgspec.json.encode(each).decode()}\n" for each in found)
--- a/garnetrelay/fleet/transport.py
+++ b/garnetrelay/fleet/transport.py
@@ -29,6 +29,7 @@
 BIND_PAUSE = 0.05
 
 Hears = Callable[[fr.AnyFrame, Place], None]
+HearsBytes = Callable[[bytes, Place], None]
 
 
 class Transport:
@@ -38,6 +39,7 @@
         self.codec = codec
         self.refused: Counter[str] = Counter()
         self.bytes_in = self.bytes_out = self.frames_out = 0
+        self.protocols: dict[bytes, HearsBytes] = {}  # others on this address, by the first two bytes; they count apart
         self._hears = hears
         self._loop = asyncio.get_running_loop()
         self._datagrams: socket.socket | None = None
@@ -103,17 +105,22 @@
 
     def send(self, place: Place, frame: fr.Frame, version: int) -> None:
         """A datagram; one that can't go now is lost, as others are on their way."""
-        if self._datagrams is None:
-            return
         data = self.codec.encode(frame, version)
+        if self.send_bytes(place, data):
+            self.frames_out += 1
+            self.bytes_out += len(data)
+
+    def send_bytes(self, place: Place, data: bytes) -> bool:
+        """The same for a datagram of any protocol; whether it went."""
+        if self._datagrams is None:
+            return False
         try:
             self._datagrams.sendto(data, place)
         except OSError as error:
             self.refused["not sent"] += 1
             log.debug("fleet: to %s: %s", place, error)
-            return
-        self.frames_out += 1
-        self.bytes_out += len(data)
+            return False
+        return True
 
     def _readable(self) -> None:
         for _ in range(ROUND):
@@ -126,20 +133,31 @@
             except OSError as error:  # an earlier one did not arrive: that is told here
                 log.debug("fleet: %s", error)
                 continue
+            self._take(data, Place(*source[:2]))
+
+    def _take(self, data: bytes, source: Place) -> None:
+        hears_bytes = self.protocols.get(data[:2])
+        if hears_bytes is None:
             self.bytes_in += len(data)
-            second = int(self._loop.time())
-            if second != self._second:
-                self._second, self._taken = second, 0
-            self._taken += 1
-            if self._taken > MOST_A_SECOND:
-                self.refused["rate"] += 1
-                continue
-            try:
-                frame = self.codec.decode(data)
-            except fr.Refused as refused:
-                self.refused[refused.cause] += 1
-                continue
-            self._hears(frame, Place(*source[:2]))
+        if self._over_the_rate():
+            self.refused["rate"] += 1
+            return
+        if hears_bytes is not None:
+            hears_bytes(data, source)
+            return
+        try:
+            frame = self.codec.decode(data)
+        except fr.Refused as refused:
+            self.refused[refused.cause] += 1
+            return
+        self._hears(frame, source)
+
+    def _over_the_rate(self) -> bool:
+        second = int(self._loop.time())
+        if second != self._second:
+            self._second, self._taken = second, 0
+        self._taken += 1
+        return self._taken > MOST_A_SECOND
 
     async def begin(self, place: Place) -> Stream | None:
         """A connection for an exchange; None where as many as may be are open."""
--- a/garnetrelay/operators/calls.py
+++ b/garnetrelay/operators/calls.py
@@ -10,6 +10,7 @@
 
 MOST_LINE = 512  # bytes: the longest call is a word and a host's name
 NAME = re.compile("[!-~]{1,200}")
+DESTINATION = re.compile("[0-9]{1,18}")
 
 
 class Refused(Exception):
@@ -57,12 +58,21 @@
             return b"+OK\n"
         case ["OFFLINE" | "ONLINE" as word, *_]:
             raise Refused(f"{word} takes the name of one host")
-        case ["FLEET", *rest] if rest in (["MEMBERS"], ["LEAVE"]) or (
-            len(rest) == 2 and rest[0] == "EXPLAIN" and NAME.fullmatch(rest[1])
-        ):
+        case ["FLEET", *rest] if _fleet_call(rest):
             return b"+OK\n" + service.fleet(rest).encode("ascii", "replace") + b".\n"
         case ["FLEET", *_]:
-            raise Refused("FLEET takes MEMBERS, EXPLAIN NAME or LEAVE")
+            raise Refused("FLEET takes MEMBERS, EXPLAIN NAME, LEAVE, OWNERS, OWNERS DESTINATION or CONTROLLERS")
         case []:
             raise Refused("an empty line")
     raise Refused(f"unknown call '{words[0][:40]}'; there are HEALTH, DUMP, OFFLINE ID, ONLINE ID, FLEET")
+
+
+def _fleet_call(words: list[str]) -> bool:
+    match words:
+        case ["MEMBERS"] | ["LEAVE"] | ["OWNERS"] | ["CONTROLLERS"]:
+            return True
+        case ["EXPLAIN", name]:
+            return NAME.fullmatch(name) is not None
+        case ["OWNERS", destination]:
+            return DESTINATION.fullmatch(destination) is not None
+    return False
--- a/garnetrelay/operators/service.py
+++ b/garnetrelay/operators/service.py
@@ -65,6 +65,10 @@
                 return "\n".join(lines) + "\n"
             case ["LEAVE"]:
                 fleet.leave()
+            case ["OWNERS", *rest]:
+                return _leased(fleet.owners(int(rest[0]) if rest else None))
+            case ["CONTROLLERS"]:
+                return _leased(fleet.controllers())
         return fleet.listing()
 
     def exclude(self, host: str, out: bool) -> None:
@@ -78,3 +82,9 @@
             raise Refused(f"no host {host} was ever listed")
         if self.exclusions.put(host, out):
             relay.exclude(host, out)
+
+
+def _leased(answer: str | None) -> str:
+    if answer is None:
+        raise Refused("this relay holds no leases: [fleet.leases] is not switched on")
+    return answer
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -179,6 +179,7 @@
             None if inheritance is None else inheritance.claim,
             ahead,
             config.settings.limits.most_tries,
+            config.fleet is not None and config.fleet.leases is not None,
         )
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
         self.listed: dict[str, io.HostEntry] = {}  # by host
@@ -257,6 +258,7 @@
                 self.config.fleet, self.config.name, self.config.state, self.config.machine_durable, passed
             )
             await self.fleet.start()
+            self.owners = self.fleet.leases
         if self.inheritance is None:
             self._read_known()
         else:
--- /dev/null
+++ b/tests/fleet/leases/test_lease_processes.py
@@ -0,0 +1,52 @@
+"""Five controllers and three relays as processes: who owns what, under faults, as an observer from outside sees it."""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+
+from garnetrelay.fleet import clock
+from tests.fleet.leases.process_cluster import Cluster
+
+
+async def test_one_owner_at_a_time_through_stops_kills_and_a_lost_folder(tmp_path: Path) -> None:
+    async with Cluster(tmp_path, 5, 3) as cluster:
+        await cluster.start_all()
+        r1, r2, r3 = cluster.relays.values()
+        c0, c1, c2, *_ = cluster.controllers.values()
+
+        # A relay that is stopped for longer than its lease: others own its partitions, in higher epochs, once it is over.
+        r1.signal(signal.SIGSTOP)
+        cluster.observer.freeze(r1)
+        await cluster.observer.all_owned("r2", "r3")
+        r1.signal(signal.SIGCONT)
+        await cluster.until(lambda: r1.logged(" lost, "))
+
+        # A relay that is killed, and a new process of its name: another session.
+        cluster.observer.freeze(r2)
+        r2.signal(signal.SIGKILL)
+        await r2.ended()
+        await r2.start()
+
+        # A controller that is killed and loses its folder is ready again by what others have on record.
+        c0.signal(signal.SIGKILL)
+        await c0.ended()
+        c0.lose_folder()
+        lines = len(c0.lines)
+        await c0.start()
+        await cluster.until(lambda: c0.logged("ready: ", lines))
+        await cluster.observer.all_owned(since=clock.now())
+        assert (c0.folder / "state" / "grants").exists()
+
+        # Two of five gone: it goes on. A third: nobody owns anything; back again: everything.
+        for controller in (c1, c2):
+            controller.signal(signal.SIGKILL)
+            await controller.ended()
+        await cluster.observer.all_owned(since=clock.now())
+        c0.signal(signal.SIGTERM)
+        assert await c0.ended() == 0
+        await cluster.observer.none_owned()
+        for controller in (c0, c1, c2):
+            await controller.start()
+        await cluster.observer.all_owned(since=clock.now())
+        assert cluster.observer.samples > 0
--- a/tests/fleet/processes.py
+++ b/tests/fleet/processes.py
@@ -22,7 +22,7 @@
 SECRET = "a secret of the tests\n"
 
 
-class Relay:
+class Process:
     """One process and what it has logged."""
 
     def __init__(self, fleet: Fleet, name: str) -> None:
@@ -34,6 +34,46 @@
         self.process: asyncio.subprocess.Process | None = None
         self.reading: asyncio.Task[None] | None = None
         self.secrets = SECRET
+
+    async def run(self, *command: str, **environment: str) -> None:
+        """Start it, and read what it logs."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *command,
+            cwd=ROOT,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, **environment},
+        )
+        self.reading = asyncio.get_running_loop().create_task(self._read(self.process))
+
+    async def _read(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr is not None
+        while line := await process.stderr.readline():
+            self.lines.append(line.decode().rstrip())
+            async with self.fleet.news:
+                self.fleet.news.notify_all()
+
+    def logged(self, text: str, since: int = 0) -> bool:
+        return any(text in line for line in self.lines[since:])
+
+    def signal(self, number: signal.Signals) -> None:
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    async def ended(self) -> int:
+        assert self.process is not None and self.reading is not None
+        async with asyncio.timeout(PATIENCE):
+            await self.reading
+            return await self.process.wait()
+
+
+class Relay(Process):
+    """A relay."""
+
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        super().__init__(fleet, name)
         self.off = False
         self.options = "probe_every_ms = 100\nprobe_timeout_ms = 40\n"
 
@@ -59,23 +99,14 @@
             )
         )
         self.staff = f"{network.inner(self.name).rpartition(':')[0]}:{network.port + 1}"
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
+        await self.run(
             "-m",
             "garnetrelay",
-            cwd=ROOT,
-            stdin=asyncio.subprocess.DEVNULL,
-            stdout=asyncio.subprocess.DEVNULL,
-            stderr=asyncio.subprocess.PIPE,
-            env={
-                **os.environ,
-                "RELAY_CONFIG": str(self.folder / "config.json"),
-                "RELAY_OPS": self.staff,
-                "RELAY_STATE": str(self.folder / "state"),
-                "RELAY_OPTIONS": "" if self.off else str(self.folder / "options.toml"),
-            },
+            RELAY_CONFIG=str(self.folder / "config.json"),
+            RELAY_OPS=self.staff,
+            RELAY_STATE=str(self.folder / "state"),
+            RELAY_OPTIONS="" if self.off else str(self.folder / "options.toml"),
         )
-        self.reading = asyncio.get_running_loop().create_task(self._read(self.process))
 
     async def upgrade(self) -> None:
         """A new process takes over from the one that runs."""
@@ -88,26 +119,6 @@
             await reading
             await old.wait()
 
-    async def _read(self, process: asyncio.subprocess.Process) -> None:
-        assert process.stderr is not None
-        while line := await process.stderr.readline():
-            self.lines.append(line.decode().rstrip())
-            async with self.fleet.news:
-                self.fleet.news.notify_all()
-
-    def logged(self, text: str, since: int = 0) -> bool:
-        return any(text in line for line in self.lines[since:])
-
-    def signal(self, number: signal.Signals) -> None:
-        assert self.process is not None
-        self.process.send_signal(number)
-
-    async def ended(self) -> int:
-        assert self.process is not None and self.reading is not None
-        async with asyncio.timeout(PATIENCE):
-            await self.reading
-            return await self.process.wait()
-
     async def ask(self, line: str) -> list[str]:
         """What staff are answered."""
         host, _, port = self.staff.rpartition(":")
