--- a/garnetrelay/operators/service.py
+++ b/garnetrelay/operators/service.py
@@ -34,6 +34,14 @@
         """Tell the others that this relay goes."""
         ...
 
+    def owners(self, destination: int | None) -> str | None:
+        """What this relay owns, or whether it owns one destination; None where it holds no leases."""
+        ...
+
+    def controllers(self) -> str | None:
+        """The controllers as this relay sees them; None where it holds no leases."""
+        ...
+
 
 class Successor(Protocol):
     """The process that the relay has passed to."""
@@ -142,6 +150,10 @@
                 return "\n".join(lines) + "\n"
             case ["LEAVE"]:
                 fleet.leave()
+            case ["OWNERS", *rest]:
+                return _leased(fleet.owners(int(rest[0]) if rest else None))
+            case ["CONTROLLERS"]:
+                return _leased(fleet.controllers())
         return fleet.listing()
 
     def exclude(self, host: str, out: bool) -> None:
@@ -157,3 +169,9 @@
             raise CallRefusedError(f"no host {host} was ever listed")
         if self.exclusions.put(host, out):
             relay.exclude(host, out)
+
+
+def _leased(answer: str | None) -> str:
+    if answer is None:
+        raise CallRefusedError("this relay holds no leases: [fleet.leases] is not switched on")
+    return answer
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -38,6 +38,7 @@
     from garnetrelay.handover.receiver import Inheritance, PredecessorLink
     from garnetrelay.handover.sender import HandoverSender
     from garnetrelay.operators.service import Operators
+    from garnetrelay.ownership import Owners
     from garnetrelay.store.ahead import Ahead
     from garnetrelay.store.durability import Syncing
 
@@ -78,10 +79,15 @@
     started: int  # monotonic clock, as is the next
     stop_at: int
     written: bool = False  # it is on record
+    destination: int = -1  # where leases are on and this relay owns it
+    epoch: int | None = None  # the same: in which epoch, as it is on record
 
     def exchange(self) -> net.Exchange:
         """The exchange that carries this attempt out."""
-        return net.Exchange(self.host, self.stop_at, self.prepare, self.done, self.still_clear, self.message.ref)
+        exchange = net.Exchange(self.host, self.stop_at, self.prepare, self.done, self.still_clear, self.message.ref)
+        if self.relay.owners is not None:
+            exchange.at_first_byte = self.fence
+        return exchange
 
     def prepare(self, address: Address) -> bytes | None:
         """The last look and the record, then the request."""
@@ -89,7 +95,9 @@
             return None
         message, zones = self.message, self.relay.config.zone_names
         name = zones[message.zone] if 0 <= message.zone < len(zones) else ""
-        self.written = self.relay.journal.trying(message.ref, name, time.time_ns() // MS)
+        if self.relay.owners is not None:
+            self.stamp(self.relay.owners)
+        self.written = self.relay.journal.trying(message.ref, name, time.time_ns() // MS, self.epoch)
         if self.written and self.relay.recovery_stats.on_try(message.ref):
             log.info("%s", self.relay.recovery_stats)
         return net.call(address, message.ref, message.key, message.body, self.stop_at) if self.written else None
@@ -99,6 +107,19 @@
         now = time.monotonic_ns()
         return now < self.stop_at and self.relay.pacer.clear_to_send(now, self.message.ref, self.host)
 
+    def stamp(self, owners: Owners) -> None:
+        """The epoch that goes on record."""
+        entry = self.relay.listed.get(self.host)
+        ownership = None if entry is None else owners.ownership(entry.dest)
+        if entry is not None and ownership is not None:
+            self.destination, self.epoch = entry.dest, ownership.epoch
+
+    def fence(self) -> None:
+        """The record took its time, or this process did not run: a lease that ended meanwhile is told. The call goes
+        out all the same, under this relay's own part of the limits: leases only report so far."""
+        if self.relay.owners is not None and self.epoch is not None:
+            self.relay.owners.still_owned(self.destination, self.epoch)
+
     def done(self, outcome: Outcome) -> None:
         """What became of it: on record, then with the Pacer."""
         relay, message = self.relay, self.message
@@ -146,6 +167,7 @@
             None if inheritance is None else inheritance.claim,
             ahead,
             config.settings.limits.most_tries,
+            config.fleet is not None and config.fleet.leases is not None,
         )
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
         self.listed: dict[str, io.HostEntry] = {}  # by host
@@ -153,6 +175,7 @@
         self.counts = Counters(config.class_names)
         self.operators: Operators | None = None
         self.fleet: Fleet | None = None
+        self.owners: Owners | None = None  # None: no leases
         self.handover_sender: HandoverSender | None = None
         self.predecessor: PredecessorLink | None = None
         self.dests: set[int] = set()  # all that the list has ever named
@@ -223,6 +246,7 @@
                 self.config.fleet, self.config.name, self.config.state, self.config.machine_durable, passed
             )
             await self.fleet.start()
+            self.owners = self.fleet.leases
         if self.inheritance is None:
             self._read_known()
         else:
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -28,6 +28,7 @@
         "garnetrelay.socket_poll",
         "garnetrelay.recovery_stats",
         "garnetrelay.fleet.members",
+        "garnetrelay.fleet.signing",
     ),
     ("garnetrelay.fleet.partitions",),
     ("garnetrelay.fleet.leases",),
@@ -49,6 +50,7 @@
     "garnetrelay.fleet.leases",
     "garnetrelay.fleet.members",
     "garnetrelay.fleet.partitions",
+    "garnetrelay.fleet.signing",
     "garnetrelay.loop_lag",
     "garnetrelay.operators.calls",
     "garnetrelay.operators.figures",
@@ -67,7 +69,10 @@
 
 # Off unless the configuration switches it on, and then imported where it starts: never as the daemon's modules load.
 OPTIONAL = (
+    "garnetrelay.config.addresses",
+    "garnetrelay.config.controller",
     "garnetrelay.config.fleet",
+    "garnetrelay.config.leases",
     "garnetrelay.fleet",
     "garnetrelay.operators",
     "garnetrelay.store.durability",
