--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from benchmarks import fleet, fleet_cost, restarts, simulator, store, turns, upgrade, watches
+from benchmarks import fleet, fleet_cost, restarts, simulator, starts, store, turns, upgrade, watches
 from benchmarks.kit import carried
 from benchmarks.peers import Cost, measure
 
@@ -139,6 +139,11 @@
     nine = commands.add_parser("watches", help=watches.compare.__doc__)
     nine.add_argument("--seeds", type=int, default=10)
     nine.set_defaults(run=lambda chosen: watches.compare(chosen.seeds))
+    ten = commands.add_parser("starts", help=starts.compare.__doc__)
+    ten.add_argument("--runs", type=int, default=20)
+    ten.add_argument("--command", help="another than the deploy file's 'run'")
+    ten.add_argument("--disk", type=int, default=3, help="megabytes that a journal may have")
+    ten.set_defaults(run=lambda chosen: starts.compare(chosen.runs, chosen.command, chosen.disk))
     seven = commands.add_parser("simulator", help=simulator.play.__doc__)
     seven.add_argument("kit", type=Path, help="the folder of the bench's kit")
     seven.add_argument("--site", default="gandhinagar-hub")
--- a/garnetrelay/__main__.py
+++ b/garnetrelay/__main__.py
@@ -1,95 +1,32 @@
-"""Start, signals and exit of one relay."""
+"""The first moments of a relay's process, and its exit.
+
+Nearly all that a start takes is imports. SIGHUP ends a process that has not said what it does with it, so that is said
+ahead of them: nothing but the standard library's smallest modules is imported up here.
+"""
 
 from __future__ import annotations
 
-import asyncio
-import dataclasses
-import logging
+import gc
 import os
-import resource
 import signal
-import sys
-from typing import TYPE_CHECKING
-
-from garnetrelay.config.deployment import Config, ConfigError, load, reload
-from garnetrelay.relay import Relay
-from garnetrelay.store.store import StoreError
-
-if TYPE_CHECKING:
-    from garnetrelay.store.ahead import Ahead
-    from garnetrelay.upgrade.take import Inheritance
-
-log = logging.getLogger("garnetrelay")
-
-
-def reconfigure(relay: Relay) -> None:
-    """Take over the configuration as it is now; one that can't be used changes nothing."""
-    try:
-        relay.reconfigure(reload(os.environ))
-    except ConfigError as error:
-        relay.counts.reloads_failed += 1
-        log.error("the old configuration stays: %s", error)
-
-
-def inherit(config: Config) -> tuple[Config, Inheritance | None, Ahead | None]:
-    """What another process that serves from this folder hands to this one, where staff may upgrade a relay."""
-    if config.operators is None:
-        return config, None, None
-    from garnetrelay.upgrade import take  # only where it may be
-
-    ahead = take.read_folder(config.state)
-    inheritance = take.ask(config.state)
-    if inheritance is None:
-        return config, None, ahead
-    moved = take.discovery(inheritance.state.discovery, config.discovery, reload(os.environ).discovery)
-    return dataclasses.replace(config, discovery=moved), inheritance, ahead
-
-
-async def serve(config: Config, early: list[int]) -> None:
-    """Run until a signal has ended the relay. ``early`` holds the SIGHUPs that came before."""
-    relay = Relay(*inherit(config))
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, relay.stop)
-    loop.add_signal_handler(signal.SIGHUP, reconfigure, relay)
-    try:
-        host, port = await relay.start()
-        if early:
-            reconfigure(relay)
-        log.info("%s serves on %s port %d", config.name, host, port)
-        await relay.finished.wait()
-    finally:
-        relay.close()
 
 
 def main() -> int:
     """The exit status."""
-    early: list[int] = []  # SIGHUP ends a process that has not said what it does with it: say so first
+    early: list[int] = []
     signal.signal(signal.SIGHUP, lambda number, frame: early.append(number))
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # whoever began us may have held it back until here
-    level = os.environ.get("RELAY_LOG_LEVEL", "INFO").upper()
-    logging.basicConfig(
-        level=level if level in logging.getLevelNamesMapping() else "INFO",
-        format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
-        datefmt="%H:%M:%S",
-    )
-    try:
-        config = load(os.environ)
-        # A length in a client's command may ask for any amount of memory: refuse the absurd at once.
-        most = config.memory_bytes + (512 << 20)
-        resource.setrlimit(resource.RLIMIT_AS, (most, resource.getrlimit(resource.RLIMIT_AS)[1]))
-        asyncio.run(serve(config, early))
-    except ConfigError as error:
-        print(f"garnetrelay: {error}", file=sys.stderr)
-        return 2
-    except (StoreError, OSError) as error:
-        print(f"garnetrelay: cannot start: {error}", file=sys.stderr)
-        return 1
-    return 0
+    gc.disable()  # what modules make stays: to look for what may go takes a tenth of their imports
+    from garnetrelay import daemon
+
+    gc.enable()
+    return daemon.run(early)
 
 
 if __name__ == "__main__":
-    # What this process leaves to close, the kernel closes: its end must not wait for it.
     status = main()
+    import logging
+
+    # What this process leaves to close, the kernel closes: its end must not wait for it.
     logging.shutdown()
     os._exit(status)
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -138,7 +138,7 @@
         [
             sys.executable,
             "-c",
-            "import sys, garnetrelay.__main__, garnetrelay.relay, garnetrelay.cli.commands\n"
+            "import sys, garnetrelay.__main__, garnetrelay.daemon, garnetrelay.relay, garnetrelay.cli.commands\n"
             "import garnetrelay.operators.service\n"
             "from garnetrelay.config import options\nfrom pathlib import Path\n"
             f"options.read(Path({str(ROOT / 'deploy' / 'options.toml')!r}), 'r1')\n"
--- a/tests/rehearsal/faults.py
+++ b/tests/rehearsal/faults.py
@@ -13,7 +13,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from garnetrelay import __main__ as daemon
+from garnetrelay import __main__ as program
+from garnetrelay import daemon
 from garnetrelay import relay as core
 from garnetrelay.delivery.http import answers, hosts
 from garnetrelay.fronts.resp import server
@@ -298,7 +299,7 @@
 
 def main() -> None:
     FAULTS[sys.argv[1]].plant()
-    status = daemon.main()
+    status = program.main()
     logging.shutdown()
     os._exit(status)
 
--- a/tests/upgrade/cut.py
+++ b/tests/upgrade/cut.py
@@ -12,7 +12,7 @@
 import time
 from typing import Any
 
-from garnetrelay import __main__ as daemon
+from garnetrelay import __main__ as program
 from garnetrelay.upgrade.channel import FRAME_TIME, Channel
 from garnetrelay.upgrade.protocol import Frame
 
@@ -69,4 +69,4 @@
 
 if __name__ == "__main__":
     cut_at(sys.argv[1])
-    os._exit(daemon.main())
+    os._exit(program.main())
