--- a/garnetrelay/__main__.py
+++ b/garnetrelay/__main__.py
@@ -15,7 +15,9 @@
     """The exit status."""
     early: list[int] = []
     signal.signal(signal.SIGHUP, lambda number, frame: early.append(number))
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # whoever began us may have held it back until here
+    signal.pthread_sigmask(
+        signal.SIG_UNBLOCK, {signal.SIGHUP}
+    )  # whoever began us may hold it back, instead of ignoring it
     gc.disable()  # what modules make stays: to look for what may go takes a tenth of their imports
     from garnetrelay import daemon
 
