--- a/garnetrelay/fleet/leases/holder.py
+++ b/garnetrelay/fleet/leases/holder.py
@@ -31,6 +31,7 @@
 
 MOST_DOUBLINGS = 16
 SPREAD = 8  # renewals come up to an eighth early, so that relays that began together don't stay in step
+SHARES = 1 << 20
 NEVER = 1 << 62
 
 
@@ -66,6 +67,7 @@
         self._known: dict[int, int] = {}  # the highest epoch by partition that was heard of or used here
         self._refused: dict[int, dict[int, int]] = {}  # by partition and controller: until when, in this round
         self._started = self._ended = False
+        self._drawn_at, self._drawn = -1, 0
 
     # ---- what others may ask
 
@@ -119,7 +121,7 @@
         for partition in [partition for partition in self._claims if partition not in wanted]:
             given_up += self._claims.pop(partition).owned
             self._drop(partition)
-        retry_at = now + self._part_of(self.settings.first_retry)
+        retry_at = now + self._part_of(now, self.settings.first_retry)
         for partition in sorted(wanted - self._claims.keys()):
             self._claims[partition] = _Claim(retry_at)
         effects = self._go_on(now)
@@ -228,14 +230,14 @@
         if free_at <= now and claim.tries == 1:
             claim.retry_at = now  # only the epoch was too low
         else:
-            claim.retry_at = min(claim.retry_at, free_at + self._part_of(self.settings.first_retry))
+            claim.retry_at = min(claim.retry_at, free_at + self._part_of(now, self.settings.first_retry))
 
     def _give_up_round(self, now: int, partition: int, claim: _Claim) -> None:
         self._drop(partition)
         claim.epoch = claim.ends = 0
         claim.owned = False
         claim.tries += 1
-        claim.retry_at = now + self._backoff(claim.tries)
+        claim.retry_at = now + self._backoff(now, claim.tries)
         self.figures["rounds given up"] += 1
 
     def _not_accepted(self, now: int, link: Link, old_boot: int) -> None:
@@ -300,7 +302,7 @@
         if released:
             return link.release(now, ends_at, released[:MOST_GRANTS])
         if now >= link.renew_at and not link.unsure:
-            link.renew_at = now + self.settings.renew_every - self._part_of(self.settings.renew_every // SPREAD)
+            link.renew_at = now + self.settings.renew_every - self._part_of(now, self.settings.renew_every // SPREAD)
             return link.renew(now, ends_at)
         wanted = list(self._to_acquire(now, link))
         return link.acquire(now, ends_at, wanted[:MOST_GRANTS]) if wanted else None
@@ -369,12 +371,15 @@
 
     def _back_off(self, now: int, link: Link) -> None:
         link.failures += 1
-        link.send_at = now + min(self._backoff(link.failures), self.settings.renew_every)
+        link.send_at = now + min(self._backoff(now, link.failures), self.settings.renew_every)
 
-    def _backoff(self, failures: int) -> int:
+    def _backoff(self, now: int, failures: int) -> int:
         """first_retry, doubled with each failure after the first up to most_retry; the second half of it is drawn."""
         time = min(self.settings.first_retry << min(failures - 1, MOST_DOUBLINGS), self.settings.most_retry)
-        return time // 2 + self._part_of(time - time // 2)
+        return time // 2 + self._part_of(now, time - time // 2)
 
-    def _part_of(self, time: int) -> int:
-        return self._random.randrange(time + 1)
+    def _part_of(self, now: int, time: int) -> int:
+        """A drawn part of a time; the same share at the same moment, so that what fails together is tried together."""
+        if now != self._drawn_at:
+            self._drawn_at, self._drawn = now, self._random.randrange(SHARES + 1)
+        return time * self._drawn // SHARES
