A cold destination gets the sum of all relays' parts, not a call of each

For its part a relay took a call in the outage's time, whatever the number of relays: sixty that had all been told sent 16.7 calls in the ramp of a destination that takes one a second, where the settings allow 12. And one that found it back long after its last failure took it for warm.

Change: a part is that of the told limit, of what was served, or of one call a second for all (`next_cold`). As trials then lie further apart, a destination found back is half of a ramp old at most (`back_since`).

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from benchmarks import asking, fleet, fleet_cost, restarts, simulator, store, turns, upgrade, watches
+from benchmarks import asking, cold, fleet, fleet_cost, restarts, simulator, store, turns, upgrade, watches
 from benchmarks.kit import carried
 from benchmarks.peers import Cost, measure
 
@@ -142,6 +142,9 @@
     ten = commands.add_parser("asking", help=asking.compare.__doc__)
     ten.add_argument("--seeds", type=int, default=10)
     ten.set_defaults(run=lambda chosen: asking.compare(chosen.seeds))
+    eleven = commands.add_parser("cold", help=cold.compare.__doc__)
+    eleven.add_argument("--seeds", type=int, default=10)
+    eleven.set_defaults(run=lambda chosen: cold.compare(chosen.seeds))
     seven = commands.add_parser("simulator", help=simulator.play.__doc__)
     seven.add_argument("kit", type=Path, help="the folder of the bench's kit")
     seven.add_argument("--site", default="gandhinagar-hub")
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -831,8 +831,7 @@
             one.bad += weight * ((0.0 if good else 1.0) - one.bad)
         was, dest.out = dest.out, dest.bad > OUT
         if good and was and not dest.out:
-            # Nobody saw it come back: half of the time since the last failure, in the mean.
-            dest.ramp_from = self.now - (self.now - dest.bad_at) // 2
+            dest.ramp_from = self.back_since(dest)
             dest.next_at = self.next_cold(dest, self.now, self.random.random())
             self.log(f"back dest={dest.number} host={host.name}")
         elif good and not dest.out and not self.is_cold(dest):
@@ -846,17 +845,21 @@
             if dest.out and not was:
                 self.log(f"outage dest={dest.number} host={host.name} part={dest.part:.3f}/s")
 
+    def back_since(self, dest: Destination) -> int:
+        """Nobody saw it come back: half of the time since the last failure, in the mean. Of many relays, whose trials
+        lie further apart than a ramp, the first to find it back would take it for warm: half of a ramp at most."""
+        return self.now - min(self.now - dest.bad_at, self.settings.rules.ramp_time) // 2
+
     def is_cold(self, dest: Destination) -> bool:
         """On the ramp after an outage."""
         return dest.ramp_from is not None and self.now < dest.ramp_from + self.settings.rules.ramp_time
 
     def next_cold(self, dest: Destination, start: int, calls: float) -> int:
         """Rule 4: when this relay's part of what a destination may get, in trouble or on the ramp, has grown
-        by so many calls. All relays share it, or as many as can have had a call for it in the trouble's time
-        (a ramp at least). Of unknown capacity, all relays together are taken to get a call a second."""
+        by so many calls. All relays share it, also those that have no call for it: nobody knows how many have
+        one, and one of each may be more than it bears. Of unknown capacity, all together get a call a second."""
         rules = self.settings.rules
-        lasted = max(rules.ramp_time, SECOND, dest.bad_at - (dest.bad_from or dest.bad_at))
-        part = max(dest.part / SECOND, 1 / lasted, 1 / SECOND / self.settings.relays)
+        part = max(dest.part, 1 / self.settings.relays) / SECOND
         pace = BUDGET * rules.fall_multiple * part
         if not self.is_cold(dest) or dest.ramp_from is None:
             return start + round(calls / (pace * rules.start_capacity))
