--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,7 +10,20 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from benchmarks import fleet, fleet_cost, fleet_scale, restarts, simulator, starts, store, turns, upgrade, watches
+from benchmarks import (
+    asking,
+    cold,
+    fleet,
+    fleet_cost,
+    fleet_scale,
+    restarts,
+    simulator,
+    starts,
+    store,
+    turns,
+    upgrade,
+    watches,
+)
 from benchmarks.kit import carried
 from benchmarks.peers import Cost, measure
 
@@ -156,6 +169,12 @@
     ten.add_argument("--command", help="another than the deploy file's 'run'")
     ten.add_argument("--disk", type=int, default=3, help="megabytes that a journal may have")
     ten.set_defaults(run=lambda chosen: starts.compare(chosen.runs, chosen.command, chosen.disk))
+    eleven = commands.add_parser("asking", help=asking.compare.__doc__)
+    eleven.add_argument("--seeds", type=int, default=10)
+    eleven.set_defaults(run=lambda chosen: asking.compare(chosen.seeds))
+    twelve = commands.add_parser("cold", help=cold.compare.__doc__)
+    twelve.add_argument("--seeds", type=int, default=10)
+    twelve.set_defaults(run=lambda chosen: cold.compare(chosen.seeds))
     seven = commands.add_parser("simulator", help=simulator.play.__doc__)
     seven.add_argument("kit", type=Path, help="the folder of the bench's kit")
     seven.add_argument("--site", default="gandhinagar-hub")
