--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -5,20 +5,20 @@
 import asyncio
 import logging
 import os
-import re
 import select
 import socket
 import struct
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, cast
 
 import hiredis
 
+from garnetrelay.fronts.resp.requests import MOST_BODY, Rejected, parse_enqueue
+from garnetrelay.fronts.resp.requests import Request as Request
+
 log = logging.getLogger(__name__)
 
-MOST_BODY = 64 * 1024
 MOST_COMMAND = MOST_BODY + 16 * 1024  # a command with all its framing
 MOST_OPEN = 64  # commands of one connection without an answer: usual clients have one
 COMMAND_TIME = 2.0  # seconds for a connection's first command, or for any to come whole once it has begun
@@ -26,32 +26,16 @@
 SILENT_TIME = 0.1  # the same for one that has never asked: usual clients ask as soon as they have connected
 LINGER = 1.0  # seconds without a byte in which a client that is shut out may still read why
 LONGEST_LINGER = 5.0  # for one that goes on sending what nobody reads
-ACCEPTED_AT_ONCE = 16  # connections taken up before the loop looks at them: each is a descriptor already
+ACCEPTED_AT_ONCE = 4  # connections taken up in a round of the loop: each is a descriptor already
+MOST_TOLD = 16  # connections kept beyond the room there is, until they have read that there is none
 LAST_READ = 0.25  # seconds in which a client reads its last answer: it waits 0.4 for one at most
 QUIET_LOOKS, QUIET_PAUSE = 5, 0.01  # at a queue of connections, seconds apart, ahead of its end
 ROUNDS = 3  # of the loop, from taking a connection up until it is made: a task's first step, then what that calls soon
 LAST_DATA = struct.Struct("=52xI")  # of TCP_INFO: milliseconds since the kernel took in the last data
 COMPLAINTS = 10  # log lines a second about what clients send
-HEADER_WORD = re.compile("[!-~]+")
 SLICE = 16 * 1024  # bytes parsed at a time: what one command leaves unread stays small
 
 
-class Rejected(ValueError):
-    """A request that cannot be understood; the text goes to the client."""
-
-
-@dataclass(slots=True)
-class Request:
-    """A message that a client hands in. (Not frozen: making one would cost three times as much.)"""
-
-    ref: str
-    klass: str
-    dest: int
-    key: str | None
-    patience_ms: int
-    body: bytes
-
-
 class Reply:
     """The place of one answer in a connection's order."""
 
@@ -86,51 +70,6 @@
 Handler = Callable[[Request, Reply], None]
 
 
-def parse_enqueue(words: list[bytes]) -> Request:
-    """A request from the words of its command."""
-    if len(words) != 5:
-        raise Rejected("wrong number of arguments for 'ENQUEUE'")
-    values: dict[str, str] = {}
-    for part in _text(words[3], 1024, "list").split(","):
-        name, equals, value = part.partition("=")
-        if not equals:
-            raise Rejected(f"'{part[:40]}' is not name=value")
-        values[name] = value
-    if len(words[4]) > MOST_BODY:
-        raise Rejected("body over 64 KiB")
-    for name in ("c", "d", "dest"):
-        if name not in values:
-            raise Rejected(f"'{name}' is missing")
-    key = values.get("k")
-    return Request(
-        _header_word(_text(words[2], 200, "id"), "id"),
-        values["c"],
-        _whole_number(values["dest"], "dest"),
-        None if key is None else _header_word(key, "k"),
-        _whole_number(values["d"], "d"),
-        words[4],
-    )
-
-
-def _text(word: bytes, most: int, what: str) -> str:
-    if not word.isascii() or len(word) > most:
-        raise Rejected(f"unreadable {what}")
-    return word.decode("ascii")
-
-
-def _header_word(text: str, what: str) -> str:
-    # It goes into an HTTP header unchanged: a space or a control character there would be another header.
-    if HEADER_WORD.fullmatch(text) is None:
-        raise Rejected(f"unreadable {what}")
-    return text
-
-
-def _whole_number(text: str, what: str) -> int:
-    if not text.isascii() or not text.isdigit() or len(text) > 9:
-        raise Rejected(f"'{what}' is no whole number in range")
-    return int(text)
-
-
 class Connection(asyncio.Protocol):
     """One client's connection."""
 
@@ -210,7 +149,11 @@
         """The client sends nothing more. It may read on: what is owed to it is written before we close too."""
         self.at_end = True
         self._stop_timer()
-        return bool(self.replies) and not self.closing
+        if self.replies and not self.closing:
+            return True
+        if self.transport is not None:
+            self._close(self.transport)
+        return False
 
     def _expect_command(self) -> None:
         """A connection that says nothing, half of a command, or a byte now and then, is not kept: the time
@@ -319,9 +262,7 @@
         if self.server.ended:
             self.end()
         elif self.at_end and not self.replies and not self.closing and self.transport is not None:
-            self.closing = True
-            self.server.busy(self)
-            self.transport.close()
+            self._close(self.transport)
         elif self.server.draining and not self.closing:
             self.close_between_requests()
 
@@ -380,10 +321,27 @@
             if self.server.draining:
                 self._end_our_side(self.transport)
             else:
-                self.closing = True
-                self._stop_timer()
-                self.server.busy(self)
-                self.transport.close()
+                self._close(self.transport)
+
+    def make_room(self) -> bool:
+        """Give up the descriptor at once, unless a message would be lost by it. A client that has not read its answers
+        by now has given up what it sends behind them, too: neither is waited for."""
+        transport = self.transport
+        if transport is None or not (transport.get_write_buffer_size() or self.between_requests):
+            return False
+        self.closing = True
+        transport.abort()
+        return True
+
+    def _close(self, transport: asyncio.Transport) -> None:
+        """Close, once what was answered is written: a client that reads nothing keeps its descriptor for no longer
+        than one that is shut out."""
+        self.closing = True
+        self._stop_timer()
+        self.server.busy(self)
+        transport.close()
+        if transport.get_write_buffer_size():
+            self.timer = asyncio.get_running_loop().call_later(LINGER, transport.abort)
 
     def _end_our_side(self, transport: asyncio.Transport) -> None:
         self.closing = True
@@ -538,7 +496,12 @@
         """Whether there is room for one more connection. None: not even to tell it that there is none."""
         if self.room() > 0 or self.close_longest_idle() or self.more_room():
             return True
-        return False if self.room() > -ACCEPTED_AT_ONCE else None
+        return False if self.room() > -MOST_TOLD else None
+
+    @property
+    def turned_away(self) -> int:
+        """Connections beyond the room: they hold the descriptors that are kept for them, and take nobody's part."""
+        return min(len(self.lingering), MOST_TOLD)
 
     def close_longest_idle(self) -> bool:
         """Make room: by one that is shut out and has been told, by one that never asked, or by one that has
@@ -552,8 +515,7 @@
             for connection in waiting:
                 if self.now() < connection.heard_at + time:
                     break
-                if connection.between_requests:
-                    connection.close_between_requests()
+                if connection.make_room():
                     self.connections.discard(connection)
                     return True
         return False
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -20,7 +20,8 @@
 from garnetrelay.counts import Counts
 from garnetrelay.delivery.http import hosts as net
 from garnetrelay.delivery.http.answers import Outcome
-from garnetrelay.fronts.resp.server import Rejected, Reply, Request, Server
+from garnetrelay.fronts.resp.requests import Rejected, Request
+from garnetrelay.fronts.resp.server import Reply, Server
 from garnetrelay.lag import Lag
 from garnetrelay.looks import PAUSE, after_a_look
 from garnetrelay.membership.register import Discovery, News, Reader
@@ -203,7 +204,7 @@
 
     def _host_room(self) -> int:
         """How many more connections to hosts there may be."""
-        clients = max(self.config.client_sockets, len(self.server.connections))
+        clients = max(self.config.client_sockets, len(self.server.connections) - self.server.turned_away)
         return self.config.shared_sockets - clients - self.hosts.count
 
     def _client_room(self) -> int:
