--- a/garnetrelay/config/deployment.py
+++ b/garnetrelay/config/deployment.py
@@ -17,8 +17,8 @@
     from garnetrelay.config.fleet import Fleet
 
 # Descriptors that are neither a client's nor a host's: standard streams, the loop's own, the journal old and
-# new, discovery and notices, old and new as they move (16); clients that are told that there is no room (16), and
-# those accepted ahead of a look at them, which are descriptors for three rounds of the loop, or just closed for them (16).
+# new, discovery and notices, old and new as they move (16); clients that are told that there is no room (16);
+# clients accepted ahead of a look at them, descriptors for three rounds of the loop, and what closes for them (16).
 RESERVED = 48
 FLEET = 16  # more where relays know each other: as ``config/fleet.py`` has them
 FLEET_FILE = 4096  # bytes of the folder for the life number, old and new
--- a/garnetrelay/delivery/http/hosts.py
+++ b/garnetrelay/delivery/http/hosts.py
@@ -391,15 +391,15 @@
             self.on_record(functools.partial(self._start, connection, exchange, request))
 
     def _start(self, connection: Connection, exchange: Exchange, request: bytes, recorded: bool) -> None:
-        if recorded and not exchange.ended and (not self.delayed or self._still_good(connection, exchange)):
+        if recorded and not exchange.ended and self._still_good(connection, exchange):
             connection.start(exchange, request)
         else:
             self.rest(connection)
             exchange.end(Outcome(io.Status.ABANDONED))
 
     def _still_good(self, connection: Connection, exchange: Exchange) -> bool:
-        """The record took its time: a last look at all that may have changed."""
-        return connection.usable and exchange.still_clear()
+        """A last look at what may have changed while the record was under way: also a write may take its time."""
+        return exchange.still_clear() and (not self.delayed or connection.usable)
 
     def rest(self, connection: Connection) -> None:
         """Keep a connection for the next call, or not."""
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -26,6 +26,7 @@
 from garnetrelay.looks import PAUSE, after_a_look
 from garnetrelay.membership.register import Discovery, News, Reader
 from garnetrelay.platform.notices import Notices
+from garnetrelay.recovery import newest_time, ran_ago
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
 from garnetrelay.untried import Untried
@@ -171,7 +172,9 @@
         self.dests: set[int] = set()  # all that the list has ever named
         self.held: dict[str, Held] = {}
         self.untried = Untried()
-        self.recovering: deque[Entry] = deque()  # picked up, and not yet with the Pacer
+        self.recovering: deque[Entry] = deque()  # picked up, and not yet taken up
+        self.taken_up: list[Entry] = []  # and not yet with the Pacer: it hears of them in the coming turn
+        self.clock_is_sure = True  # no time that the journal has lies ahead of the wall clock
         self.newcomers: dict[str, Newcomer] = {}
         self.inbox: list[io.Event] = []
         self.turn_due = False
@@ -416,6 +419,7 @@
         that are out before any other; the rest goes to the Pacer in slices, soonest deadline first, while clients are
         answered."""
         passed = {} if self.inheritance is None else self.inheritance.calls
+        self._look_at_the_clock()
         first: list[Entry] = []
         rest: list[Entry] = []
         for entry in list(self.journal.entries.values()):
@@ -442,6 +446,14 @@
         if self.recovering:
             asyncio.get_running_loop().call_soon(self._recover_slice)
 
+    def _look_at_the_clock(self) -> None:
+        ahead = newest_time(self.journal.entries.values()) - time.time_ns() // MS
+        self.clock_is_sure = ahead <= 0
+        if ahead > 0:
+            log.warning(
+                "the clock was set back by %d ms or more: no keyed message that may have run is sent again", ahead
+            )
+
     def _take_up(self, entries: list[Entry]) -> None:
         now_ms = time.time_ns() // MS
         for entry in entries:
@@ -449,25 +461,26 @@
                 self.untried.find(entry.ref)
             ends_at = time.monotonic_ns() + (entry.deadline - now_ms) * MS
             self.held[entry.ref] = Held(entry.ref, entry.klass, entry.key, entry.body, ends_at, entry.attempts)
-            self.post(self._recovered(entry, now_ms))
+        if entries:
+            self.taken_up += entries
+            self._turn_is_due()
 
-    def _recovered(self, entry: Entry, now_ms: int) -> io.Recovered:
+    def _recovered(self, entry: Entry, now: int) -> io.Recovered:
+        """As the Pacer hears of it in a turn. ``now``: the turn's time by the wall clock. What passes between taking a
+        message up and its turn would lengthen its window for repeats, and its time."""
         passed = None if self.inheritance is None else self.inheritance.calls.get(entry.ref)
         out = None if passed is None else passed[0]  # its attempt is out still
         if out is None and entry.ran_at is None and entry.trying_at is not None:  # no outcome came: it may have run
             entry.ran_at, entry.ran_zone = entry.trying_at, entry.trying_zone
-        ran_ago = None if entry.ran_at is None else max(0, now_ms - entry.ran_at) * MS
-        if entry.uncertain:  # an attempt may be missing: no window and no building is sure
-            ran_ago = 365 * 86400 * SECOND
         zones = self.config.zone_names
         return io.Recovered(
             call=entry.ref,
             klass=self.class_numbers[entry.klass],
             dest=entry.dest,
             key=entry.key,
-            patience=(entry.deadline - now_ms) * MS,
+            patience=entry.deadline * MS - now,
             attempts=entry.attempts,
-            ran_ago=ran_ago,
+            ran_ago=ran_ago(entry, now, self.clock_is_sure),
             ran_zone=zones.index(entry.ran_zone) if entry.ran_zone in zones else -1 if out is None else out.zone,
             host=None if out is None else out.name,
             sent_at=0 if out is None else out.started,
@@ -554,6 +567,9 @@
     def post(self, event: io.Event) -> None:
         """One batch holds all that is ready: the turn runs when the loop has read what lies there."""
         self.inbox.append(event)
+        self._turn_is_due()
+
+    def _turn_is_due(self) -> None:
         if not self.turn_due:
             self.turn_due = True
             self.looked_at = time.monotonic_ns()
@@ -589,6 +605,10 @@
         now = time.monotonic_ns()
         if self.lag.news(now):
             events.insert(0, io.Lagging(self.lag.value))
+        if self.taken_up:
+            taken_up, self.taken_up = self.taken_up, []
+            wall = time.time_ns()  # behind ``now``: what passes between the two closes windows early, never late
+            events += [self._recovered(entry, wall) for entry in taken_up]
         actions = self.pacer.handle(now, events)
         newcomers = self._note_newcomers({a.call for a in actions if isinstance(a, io.Refuse | io.Fail)})
         self.hosts.gather()
--- /dev/null
+++ b/tests/test_repeat_window.py
@@ -0,0 +1,235 @@
+"""A keyed message that may have run is never sent again behind its window for repeats, and gets its one final answer.
+Time passes here by a clock that the test sets; nothing sleeps."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+import pytest_asyncio
+
+from garnetrelay import relay as relay_module
+from garnetrelay.delivery.http import hosts
+from garnetrelay.delivery.http.answers import Outcome
+from garnetrelay.relay import Relay
+from garnetrelay.store.format import Entry
+from garnetrelay.store.store import Store
+from starlingwick import interface as io
+from tests.sockets import Field, endpoint, until
+
+MS = 1_000_000
+SECOND = 1000 * MS
+WINDOW = SECOND  # as short as days of restarts have it
+
+
+class SetClock:
+    """The clocks of this process, with more time passed than has, and a wall clock that is set."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.passed = 0  # nanoseconds
+        self.set_by = 0
+        monotonic, wall = time.monotonic_ns, time.time_ns
+        monkeypatch.setattr(time, "monotonic_ns", lambda: monotonic() + self.passed)
+        monkeypatch.setattr(time, "time_ns", lambda: wall() + self.passed + self.set_by)
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(loop, "time", lambda: time.monotonic_ns() / SECOND)
+
+    def advance(self, nanoseconds: int) -> None:
+        self.passed += nanoseconds
+
+
+@pytest_asyncio.fixture
+async def clock(monkeypatch: pytest.MonkeyPatch) -> SetClock:
+    return SetClock(monkeypatch)
+
+
+def tried(ref: str, ago: int, deadline: int = 8000, klass: str = "keyed") -> Entry:
+    """A message with an attempt on record and no outcome; times in milliseconds."""
+    now = time.time_ns() // MS
+    return Entry(ref, klass, 3, f"key-{ref}", now + deadline, b"x", 1, now - ago, "north")
+
+
+def on_record(field: Field, *entries: Entry) -> None:
+    """What an earlier life left."""
+    field.facts["classes"][1]["repeatWindow"] = WINDOW
+    journal = Store.open(field.state, 3_000_000)
+    for entry in entries:
+        journal.taken(entry)
+    journal.close()
+
+
+async def prepared(field: Field) -> Relay:
+    """A relay that has not started."""
+    relay = Relay(field.config())
+    field.relays.append(relay)
+    return relay
+
+
+async def one_end(field: Field, ref: str, result: str = "dead") -> None:
+    """It is ended once, and nothing has been sent."""
+    assert await field.platform.next_notice() == {"ref": ref, "result": result}
+    relay = field.relays[0]
+    await until(lambda: not relay.held and not relay.notices.queue and not relay.journal.entries)
+    assert field.platform.notices.empty() and field.host.calls.empty() and not relay.hosts.calls_written
+
+
+@pytest.mark.parametrize("scope, result", [("zone", "dead"), ("all", "bounced")])
+async def test_one_found_behind_its_window_is_ended_at_once(
+    field: Field, clock: SetClock, scope: str, result: str
+) -> None:
+    field.facts["classes"][1]["keyScope"] = scope
+    on_record(field, tried("k", 1500))
+    await (await prepared(field)).start()
+    await one_end(field, "k", result)
+
+
+async def test_one_found_within_its_window_goes_again(field: Field, clock: SetClock) -> None:
+    """So that the others here show something."""
+    on_record(field, tried("k", 200))
+    await (await prepared(field)).start()
+    (await field.host.next_call()).answer(200)
+    await until(lambda: not field.relays[0].held)
+    assert field.platform.notices.empty()
+
+
+async def test_the_window_closes_while_its_connection_comes_up(field: Field, clock: SetClock) -> None:
+    on_record(field, tried("k", 200))
+    relay = await prepared(field)
+    go = relay.hosts._go
+
+    def late(connection: hosts.Connection, exchange: hosts.Exchange) -> None:
+        clock.advance(WINDOW)
+        go(connection, exchange)
+
+    relay.hosts._go = late  # type: ignore[method-assign]
+    await relay.start()
+    await one_end(field, "k")
+    assert clock.passed
+
+
+async def test_the_window_closes_while_its_attempt_goes_on_record(field: Field, clock: SetClock) -> None:
+    """The last look came ahead of the write, and a disk may take its time."""
+    on_record(field, tried("k", 200))
+    relay = await prepared(field)
+    trying = relay.journal.trying
+
+    def slow(ref: str, zone: str, now_ms: int) -> bool:
+        noted = trying(ref, zone, now_ms)
+        clock.advance(WINDOW)
+        return noted
+
+    relay.journal.trying = slow  # type: ignore[method-assign]
+    await relay.start()
+    await one_end(field, "k")
+    assert clock.passed
+
+
+async def test_a_gathered_call_is_looked_at_behind_its_record(field: Field) -> None:
+    """The same in a turn, where the connection was there."""
+    client = await field.start()
+    await field.warm(client)
+    net, ends, clear = field.relays[0].hosts, list[Outcome](), [True]
+    await until(lambda: any(net.idle.values()))
+    net.gather()
+    net.begin(hosts.Exchange("s-1", 1 << 62, lambda address: b"GET / HTTP/1.1\r\n\r\n", ends.append, lambda: clear[0]))
+    gathered = net.gathered()
+    assert len(gathered) == 1 and not ends
+    clear[0] = False
+    net.release(gathered, True)
+    assert ends == [Outcome(io.Status.ABANDONED)] and any(net.idle.values()) and field.host.calls.empty()
+
+
+async def test_the_window_closes_between_a_slice_of_recovery_and_its_turn(
+    field: Field, clock: SetClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was measured as the slice was taken up, and held to run from the turn."""
+    monkeypatch.setattr(relay_module, "SLICE", 1)
+    on_record(field, tried("k", 200))
+    relay = await prepared(field)
+    soon = relay._turn_soon
+
+    def late() -> None:
+        if "k" in relay.held and not clock.passed:
+            clock.advance(WINDOW)
+        soon()
+
+    relay._turn_soon = late  # type: ignore[method-assign]
+    await relay.start()
+    await one_end(field, "k")
+    assert clock.passed
+
+
+async def test_the_window_closes_while_it_waits_for_a_slice(
+    field: Field, clock: SetClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The second slice comes a round later; it goes by its own time."""
+    monkeypatch.setattr(relay_module, "SLICE", 1)
+    on_record(field, tried("s", 200, 4000, "safe"), tried("k", 200))
+    relay = await prepared(field)
+    take_up = relay._take_up
+
+    def late(entries: list[Entry]) -> None:
+        if any(entry.ref == "k" for entry in entries):
+            clock.advance(WINDOW)
+        take_up(entries)
+
+    relay._take_up = late  # type: ignore[method-assign]
+    await relay.start()
+    call = await field.host.next_call()
+    assert call.headers["x-request-id"] == "s"
+    call.answer(200)
+    assert await field.platform.next_notice() == {"ref": "k", "result": "dead"}
+    await until(lambda: not relay.held and not relay.journal.entries)
+    assert field.platform.notices.empty() and field.host.calls.empty() and relay.hosts.calls_written == 1
+
+
+async def test_the_window_closes_while_no_host_may_be_called(field: Field, clock: SetClock) -> None:
+    """Nothing ends it as the window closes; its end comes at its time, once."""
+    field.endpoints[0]["status"] = "Terminating"  # no host may be called, till the list says otherwise
+    on_record(field, tried("k", 200, 3000))
+    relay = await prepared(field)
+    await relay.start()
+    await until(lambda: "k" in relay.pacer.messages)
+    clock.advance(WINDOW)
+    relay.on_news(relay.reader.read({"index": 42, "snapshot": False, "endpoints": [endpoint(field.host)]}))
+    await until(lambda: relay.pacer.hosts["s-1"][1].usable)
+    await until(lambda: not relay.turn_due)
+    assert relay.pacer.messages["k"].call is None and not relay.hosts.count
+    clock.advance(3 * SECOND)
+    await one_end(field, "k")
+
+
+async def test_a_clock_set_back_holds_no_window_open(field: Field, clock: SetClock) -> None:
+    """What is on record lies ahead of the clock: how long ago it was nobody can tell."""
+    on_record(field, tried("k", 1500))
+    clock.set_by = -3600 * SECOND
+    await (await prepared(field)).start()
+    await one_end(field, "k")
+
+
+async def test_a_clock_set_back_by_less_shows_in_what_was_tried_later(field: Field, clock: SetClock) -> None:
+    """By its own time alone its window would be open: 1.5 s ago, of which the clock has taken back one."""
+    later = tried("u", 100, klass="unsafe")
+    on_record(field, tried("k", 1500), later)
+    clock.set_by = -SECOND
+    await (await prepared(field)).start()
+    ends = [await field.platform.next_notice() for _ in range(2)]
+    assert {end["ref"]: end["result"] for end in ends} == {"k": "dead", "u": "dead"}
+    assert field.host.calls.empty() and not field.relays[0].hosts.calls_written
+
+
+@pytest.mark.parametrize("hours", [-1, 1])
+async def test_a_clock_that_is_set_while_it_is_held_changes_no_window(field: Field, clock: SetClock, hours: int) -> None:
+    field.facts["classes"][1]["repeatWindow"] = 4 * SECOND
+    client = await field.start()
+    assert await client.enqueue("k", "keyed") == b"OK"
+    first = await field.host.next_call()
+    clock.set_by = hours * 3600 * SECOND
+    first.break_off()
+    second = await field.host.next_call()  # within its window
+    clock.advance(4 * SECOND)
+    second.break_off()
+    assert await field.platform.next_notice() == {"ref": "k", "result": "dead"}
+    await until(lambda: not field.relays[0].held)
+    assert field.host.calls.empty() and field.platform.notices.empty() and field.relays[0].hosts.calls_written == 2
