Tests: the port of a relay's process stays its own while no process listens there

Cause: test_old_process_outlives_one_that_fails_on_the_way[state] failed once in 108 and its words were not kept. Its port was picked by the kernel and let go; until the relay bound it, twice in that test, another test's listener could be given it, and the relay ended.

Change: `Field.free_port` keeps the port bound, beside whoever names it, until the test ends; all tests with processes take theirs there.

--- a/tests/operators/test_cli.py
+++ b/tests/operators/test_cli.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 import signal
-import socket
 import sys
 from pathlib import Path
 
@@ -14,12 +13,6 @@
 from tests.test_process import ROOT, Process
 
 
-def free() -> str:
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{found.getsockname()[1]}"
-
-
 async def command(*words: str, environment: dict[str, str] | None = None) -> tuple[int, str]:
     """A subcommand's exit status, and what it says."""
     child = await asyncio.create_subprocess_exec(
@@ -37,7 +30,7 @@
 
 
 async def test_staff_call_and_upgrade_from_the_command_line(field: Field, tmp_path: Path) -> None:
-    process, staff, later = Process(field), free(), free()
+    process, staff, later = Process(field), *(f"127.0.0.1:{field.free_port()}" for _ in range(2))
     client = await process.start({"RELAY_OPS": staff})
     assert await client.ask("PING") == b"PONG"  # its first command has a time limit, and the commands below take theirs
     environment = {**field.environment(process.port), "RELAY_OPS": ""}
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import copy
 import json
+import socket
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -97,6 +98,17 @@
         self.port = 0
         self.options = ""
         self.operators = False
+        self.held_ports: list[socket.socket] = []
+
+    def free_port(self) -> int:
+        """A port for a relay's process, until this field stops. The kernel gives it to nobody else, also while no process
+        listens there: it is bound, in a way that leaves it to whoever names it and lets others have it too."""
+        held = socket.socket()
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        held.bind(("127.0.0.1", 0))
+        self.held_ports.append(held)
+        return int(held.getsockname()[1])
 
     async def prepare(self) -> None:
         await self.host.start()
@@ -141,6 +153,8 @@
             relay.close()
         await self.host.stop()
         await self.platform.stop()
+        for held in self.held_ports:
+            held.close()
 
     async def warm(self, client: Client) -> None:
         """Two messages delivered: after a host's first call alone, the Pacer gives its connection back."""
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -29,9 +29,7 @@
 
     def __init__(self, field: Field) -> None:
         self.field = field
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            self.port = free.getsockname()[1]
+        self.port = field.free_port()
         self.child: asyncio.subprocess.Process | None = None
 
     async def start(self, more: dict[str, str] | None = None) -> Client:
@@ -226,3 +224,22 @@
     await process.says(b"configuration read again")
     await process.says(b"serves on")
     assert await process.end(signal.SIGTERM) == 0
+
+
+async def test_port_of_a_process_is_nobody_elses_while_it_is_down(field: Field, process: Process) -> None:
+    """Between two of its lives, or ahead of the first, the kernel gave it to another test's listener now and then."""
+
+    def taken() -> bool:
+        with socket.socket() as other:  # asks for it alone, as a listener on a port that the kernel picks does
+            try:
+                other.bind(("127.0.0.1", process.port))
+            except OSError:
+                return True
+        return False
+
+    assert taken()
+    await process.start()
+    await process.end(signal.SIGKILL)
+    assert taken()
+    client = await process.start()
+    assert await client.ask("PING") == b"PONG"
--- a/tests/upgrade/test_cut.py
+++ b/tests/upgrade/test_cut.py
@@ -6,7 +6,6 @@
 import asyncio
 import os
 import signal
-import socket
 import sys
 from collections import Counter
 from collections.abc import AsyncIterator
@@ -26,14 +25,9 @@
 
     def __init__(self, field: Field) -> None:
         self.field = field
-        self.port, *self.staff = (self._free() for _ in range(4))
+        self.port, *self.staff = (field.free_port() for _ in range(4))
         self.children: list[asyncio.subprocess.Process] = []
 
-    def _free(self) -> int:
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            return int(free.getsockname()[1])
-
     async def start(self, point: str = "") -> asyncio.subprocess.Process:
         words = ["tests.upgrade.cut", point] if point else ["garnetrelay"]
         child = await asyncio.create_subprocess_exec(
