Descriptors: a burst of callers at the staff's address stays within what is kept

Need: whoever reaches that address may fill the relay's descriptors as idle clients may.

Change: one caller is taken up in a round of the loop (16 before, over three rounds each); the test of a whole relay among idle clients now has a notice, too, that the platform's return has to bring out.

--- a/garnetrelay/operators/front.py
+++ b/garnetrelay/operators/front.py
@@ -15,6 +15,7 @@
 log = logging.getLogger(__name__)
 
 MOST_CALLERS = 6
+TAKEN_UP_AT_ONCE = 1  # in a round of the loop: each is a descriptor for three rounds before it is looked at
 LINE_TIME = 3.0  # seconds for the whole line
 ANSWER_TIME = 2.0  # seconds for a caller to read its answer
 
@@ -80,8 +81,10 @@
     async def start(self, address: Address) -> int:
         """Listen; the port that came of it. OSError where that can't be."""
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: Caller(self), address.host, address.port, backlog=16, reuse_port=True
+            lambda: Caller(self), address.host, address.port, backlog=TAKEN_UP_AT_ONCE, reuse_port=True
         )
+        with self._server.sockets[0].dup() as listening:
+            listening.listen(16)  # more may wait than are taken up at once
         return int(self._server.sockets[0].getsockname()[1])
 
     def took(self, caller: Caller) -> None:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -14,8 +14,9 @@
 import pytest
 import pytest_asyncio
 
-from garnetrelay.config.deployment import RESERVED
+from garnetrelay.config.deployment import OPERATORS, RESERVED
 from garnetrelay.fronts.resp import server as clients
+from garnetrelay.operators.front import MOST_CALLERS
 from garnetrelay.rehearsal.scripted import PATIENCE
 from garnetrelay.relay import Relay
 from tests.sockets import Client, Field, endpoint, listing, until
@@ -78,6 +79,28 @@
         one.close()
 
 
+async def test_a_burst_of_callers_takes_no_descriptor_that_is_kept_for_others(field: Field) -> None:
+    """Staff's address is anybody's on this machine; the relay keeps some descriptors for it, and no more."""
+    field.operators = True
+    before = descriptors()
+    await field.start()
+    relay = field.relays[0]
+    assert relay.operators is not None and relay.operators.front._server is not None
+    idle = descriptors() - before - 1  # its first client is the test's own, too
+    burst = connect_at_once(relay.operators.front._server.sockets[0].getsockname()[1], 16)
+    others = before + len(burst) + 1
+    most = 0
+    while len(relay.operators.front.callers) < MOST_CALLERS:
+        await asyncio.sleep(0)
+        most = max(most, descriptors() - others)
+    for _ in range(100):
+        await asyncio.sleep(0)
+        most = max(most, descriptors() - others)
+    assert most <= idle + OPERATORS - 1  # its listener is there
+    for one in burst:
+        one.close()
+
+
 async def test_clients_that_are_told_no_take_no_part_of_the_hosts(field: Field) -> None:
     """They hold the descriptors that are kept for them. Counted as clients they took all of a small relay's part for
     hosts, and while others came nobody was called."""
@@ -192,8 +215,8 @@
 
 
 async def test_a_relay_full_of_idle_clients_watches_calls_and_keeps_its_journal(field: Field, process: Process) -> None:
-    """Under the kernel's own limit, with discovery away and back: the watch, a host's connection, new segments and the
-    configuration at SIGHUP each find a descriptor."""
+    """Under the kernel's own limit, with discovery away and back: the watch, a notice, a host's connection, new
+    segments and the configuration at SIGHUP each find a descriptor."""
     field.limits |= {"sockets": SOCKETS, "disk_mb": 0.1}
     await process.start()
     assert process.child is not None and process.child.stderr is not None
@@ -222,12 +245,13 @@
         number += 1
         await hand_in(process.port, f"m{number}")
         call = await field.host.next_call()
-        call.answer(200, "Connection: close")  # each call needs a connection of its own
+        call.answer(504 if number == 1 else 200, "Connection: close")  # each call needs a connection of its own
         await field.host.next_closing()
     while not field.platform.calls.empty():
         field.platform.calls.get_nowait()
     await field.platform.start(port=port)
     watch = await field.platform.next_watch()
+    assert (await field.platform.next_notice())["ref"] == "m1"
     watch.line(listing(42, endpoint(field.host, "s-1"), endpoint(field.host, "s-2")))
     process.child.send_signal(signal.SIGHUP)
     await until(lambda: any(b"configuration read again" in line for line in said))
