Descriptors: a drain takes up the last in small steps; want of our own blames no host

Cause: ahead of the listener's close all that lay in its queue was taken up in one round, and a connect that failed for want of a descriptor counted against the host.

Change: both ends of a listener's life take up as many in a round; such a connect ends as abandoned: it never ran, and says nothing.

The two tests fail without their mend.

--- a/garnetrelay/delivery/http/hosts.py
+++ b/garnetrelay/delivery/http/hosts.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import dataclasses
+import errno
 import functools
 import logging
 import select
@@ -30,6 +31,7 @@
 
 SECOND = 1_000_000_000
 IDLE_SHARE = 0.8  # of the host's own idle limit: a call written just as it closes would end as a reset
+OUR_OWN = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # errors of a connect that no host has made
 DRAIN_TIME = 0.5  # seconds for what is left of an answer once it has begun
 
 Prepare = Callable[[Address], bytes | None]
@@ -365,8 +367,10 @@
                 _, connection = await loop.create_connection(
                     lambda: Connection(self, exchange.host, address), address.host, address.port
                 )
-        except (OSError, TimeoutError):
-            exchange.end(Outcome(io.Status.CONNECT_FAILED))
+        except (OSError, TimeoutError) as error:
+            # For want of a descriptor or memory of our own it never ran, and says nothing of its host.
+            ours = isinstance(error, OSError) and error.errno in OUR_OWN
+            exchange.end(Outcome(io.Status.ABANDONED if ours else io.Status.CONNECT_FAILED))
             return
         if exchange.ended:
             self.rest(connection)
--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -471,7 +471,7 @@
         listening = socket.socket(fileno=self._server.sockets[0].fileno())  # no copy: descriptors may be short
         try:
             listening.setblocking(False)
-            while not self.ended:
+            for _ in range(0 if self.ended else ACCEPTED_AT_ONCE):
                 found, _ = listening.accept()
                 task = loop.create_task(loop.connect_accepted_socket(lambda: Connection(self), found))
                 self._taking_up.add(task)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -4,12 +4,14 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import resource
 import signal
 import socket
 from collections.abc import AsyncIterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 import pytest_asyncio
@@ -79,6 +81,47 @@
         one.close()
 
 
+async def test_a_burst_behind_the_last_look_of_a_drain_is_taken_up_in_small_steps(field: Field) -> None:
+    """All that lay in the queue was taken up in one round, ahead of the listener's close."""
+    field.limits["sockets"] = SOCKETS
+    before = descriptors()
+    await field.start()
+    server = field.relays[0].server
+    server._take_up_no_more()  # the queue was found empty
+    burst = connect_at_once(field.port, BURST)
+    others = before + len(burst) + 1
+    most = 0
+    server._close_in(clients.ROUNDS)
+    while server.listening:
+        await asyncio.sleep(0)
+        most = max(most, descriptors() - others)
+    assert most <= SOCKETS
+    for one in burst:
+        one.close()
+
+
+async def test_a_connection_that_fails_for_want_of_a_descriptor_blames_no_host(
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It counted as a failed connect: some of them in a row, and a host that answers passed for down."""
+    client = await field.start()
+    relay = field.relays[0]
+    loop = asyncio.get_running_loop()
+    connect, short = loop.create_connection, [errno.EMFILE, errno.ENFILE]
+
+    async def without(factory: Any, host: str, port: int) -> Any:
+        if short and field.host.address == f"{host}:{port}":
+            raise OSError(short.pop(), "no descriptor")
+        return await connect(factory, host, port)
+
+    monkeypatch.setattr(loop, "create_connection", without)
+    assert await client.enqueue("m1", "unsafe") == b"OK"
+    (await field.host.next_call()).answer(200)
+    await until(lambda: not relay.held)
+    dest, host = relay.pacer.hosts["s-1"]
+    assert not short and dest.bad_at == 0 and host.bad == 0.0
+
+
 async def test_a_burst_of_callers_takes_no_descriptor_that_is_kept_for_others(field: Field) -> None:
     """Staff's address is anybody's on this machine; the relay keeps some descriptors for it, and no more."""
     field.operators = True
