Descriptors: a kernel's limit under the configuration's is the one that is shared out

Need: where the kernel allows a process fewer descriptors than its configuration says, clients were let in up to the configuration's limit.

Change: the lower of the two counts, as the configuration is read.

Measured: nothing but the test, which fails without it (1024 where 96 are allowed).

--- a/garnetrelay/config/deployment.py
+++ b/garnetrelay/config/deployment.py
@@ -5,6 +5,8 @@
 import dataclasses
 import hashlib
 import json
+import resource
+import sys
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -149,7 +151,7 @@
         state=state,
         # Any text will do for a seed; a hash keeps it the same from run to run.
         seed=int.from_bytes(hashlib.sha256(str(raw.get("seed", "")).encode()).digest()[:8]),
-        sockets=int(limits.get("sockets", 1024)),
+        sockets=min(int(limits.get("sockets", 1024)), _kernel_limit()),
         disk_bytes=int(float(limits.get("disk_mb", 64)) * 1_000_000),
         memory_bytes=int(float(limits.get("memory_mb", 192)) * 1_000_000),
         class_names=tuple(str(c["name"]) for c in facts["classes"]),
@@ -162,6 +164,12 @@
     return _fitted(config)
 
 
+def _kernel_limit() -> int:
+    """Descriptors that the kernel lets this process have: a configuration that says more can't be held to it."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if soft == resource.RLIM_INFINITY else soft
+
+
 def _fitted(config: Config) -> Config:
     """A call out holds a connection: no more of them than there are descriptors."""
     slots = min(config.settings.slots, max(1, config.host_sockets - 8))
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -81,6 +81,17 @@
         one.close()
 
 
+async def test_a_limit_of_the_kernels_under_the_configurations_is_kept(
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Descriptors were shared out up to the configuration's limit; at the kernel's all of it failed."""
+    field.limits["sockets"] = 1024
+    monkeypatch.setattr(resource, "getrlimit", lambda which: (SOCKETS, SOCKETS))
+    assert field.config().sockets == SOCKETS
+    monkeypatch.setattr(resource, "getrlimit", lambda which: (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+    assert field.config().sockets == 1024
+
+
 async def test_a_burst_behind_the_last_look_of_a_drain_is_taken_up_in_small_steps(field: Field) -> None:
     """All that lay in the queue was taken up in one round, ahead of the listener's close."""
     field.limits["sockets"] = SOCKETS
