--- a/garnetrelay/config/deployment.py
+++ b/garnetrelay/config/deployment.py
@@ -5,6 +5,8 @@
 import dataclasses
 import hashlib
 import json
+import resource
+import sys
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -17,8 +19,8 @@
     from garnetrelay.config.fleet import Fleet
 
 # Descriptors that are neither a client's nor a host's: standard streams, the loop's own, the journal old and
-# new, discovery and notices, old and new as they move (16); clients accepted ahead of a look at them, and as
-# many that are told that there is no room (32).
+# new, discovery and notices, old and new as they move (16); clients that are told that there is no room (16);
+# clients accepted ahead of a look at them, descriptors for three rounds of the loop, and what closes for them (16).
 RESERVED = 48
 FLEET = 16  # more where relays know each other: as ``config/fleet.py`` has them
 FLEET_FILE = 4096  # bytes of the folder for the life number, old and new
@@ -150,7 +152,7 @@
         state=state,
         # Any text will do for a seed; a hash keeps it the same from run to run.
         seed=int.from_bytes(hashlib.sha256(str(raw.get("seed", "")).encode()).digest()[:8]),
-        sockets=int(limits.get("sockets", 1024)),
+        sockets=min(int(limits.get("sockets", 1024)), _kernel_limit()),
         disk_bytes=int(float(limits.get("disk_mb", 64)) * 1_000_000),
         memory_bytes=int(float(limits.get("memory_mb", 192)) * 1_000_000),
         class_names=tuple(str(c["name"]) for c in facts["classes"]),
@@ -163,6 +165,12 @@
     return _fitted(config)
 
 
+def _kernel_limit() -> int:
+    """Descriptors that the kernel lets this process have: a configuration that says more can't be held to it."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if soft == resource.RLIM_INFINITY else soft
+
+
 def _fitted(config: Config) -> Config:
     """A call out holds a connection: no more of them than there are descriptors."""
     slots = min(config.settings.slots, max(1, config.host_sockets - 8))
--- a/garnetrelay/delivery/http/hosts.py
+++ b/garnetrelay/delivery/http/hosts.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import dataclasses
+import errno
 import functools
 import logging
 import select
@@ -30,6 +31,7 @@
 
 SECOND = 1_000_000_000
 IDLE_SHARE = 0.8  # of the host's own idle limit: a call written just as it closes would end as a reset
+OUR_OWN = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # errors of a connect that no host has made
 DRAIN_TIME = 0.5  # seconds for what is left of an answer once it has begun
 
 Prepare = Callable[[Address], bytes | None]
@@ -378,8 +380,10 @@
                 _, connection = await loop.create_connection(
                     lambda: Connection(self, exchange.host, address), address.host, address.port
                 )
-        except (OSError, TimeoutError):
-            exchange.end(Outcome(io.Status.CONNECT_FAILED))
+        except (OSError, TimeoutError) as error:
+            # For want of a descriptor or memory of our own it never ran, and says nothing of its host.
+            ours = isinstance(error, OSError) and error.errno in OUR_OWN
+            exchange.end(Outcome(io.Status.ABANDONED if ours else io.Status.CONNECT_FAILED))
             return
         if exchange.ended:
             self.rest(connection)
@@ -404,7 +408,7 @@
             self.on_record(functools.partial(self._start, connection, exchange, request))
 
     def _start(self, connection: Connection, exchange: Exchange, request: bytes, recorded: bool) -> None:
-        if recorded and not exchange.ended and (not self.delayed or self._still_good(connection, exchange)):
+        if recorded and not exchange.ended and self._still_good(connection, exchange):
             if exchange.at_first_byte is not None:
                 exchange.at_first_byte()
             connection.start(exchange, request)
@@ -413,8 +417,8 @@
             exchange.end(Outcome(io.Status.ABANDONED))
 
     def _still_good(self, connection: Connection, exchange: Exchange) -> bool:
-        """The record took its time: a last look at all that may have changed."""
-        return connection.usable and exchange.still_clear()
+        """A last look at what may have changed while the record was under way: also a write may take its time."""
+        return exchange.still_clear() and (not self.delayed or connection.usable)
 
     def rest(self, connection: Connection) -> None:
         """Keep a connection for the next call, or not."""
--- a/garnetrelay/recovery.py
+++ b/garnetrelay/recovery.py
@@ -17,6 +17,7 @@
 from garnetrelay.config.deployment import Address, Config
 from garnetrelay.membership.register import Discovery, News, Reader
 from garnetrelay.pending import PendingMessage
+from garnetrelay.recorded_times import newest_time, ran_ago
 from garnetrelay.recovery_stats import RecoveryStats
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
@@ -47,7 +48,9 @@
     class_numbers: dict[str, int]  # by a class's name
     gone: dict[str, None]  # hosts that were listed, the latest last
     held: dict[str, PendingMessage]  # by ref
-    recovering: deque[Entry]  # picked up, and not yet with the Pacer
+    recovering: deque[Entry]  # picked up, and not yet taken up
+    taken_up: list[Entry]  # and not yet with the Pacer: it hears of them in the coming turn
+    clock_is_sure: bool  # no time that the journal has lies ahead of the wall clock
     recovery_stats: RecoveryStats
     ends: list[tuple[str, str, int]]  # of this turn: what the platform is told of each
     inbox: list[io.Event]
@@ -57,6 +60,10 @@
     def post(self, event: io.Event) -> None:
         """Let the next turn take up an event."""
 
+    @abstractmethod
+    def _turn_is_due(self) -> None:
+        """Let a turn come."""
+
     @abstractmethod
     def turn(self) -> None:
         """Decide on all that has come."""
@@ -100,6 +107,7 @@
         that are out before any other; the rest goes to the Pacer in slices, soonest deadline first, while clients are
         answered."""
         passed = {} if self.inheritance is None else self.inheritance.calls
+        self._look_at_the_clock()
         first: list[Entry] = []
         rest: list[Entry] = []
         for entry in list(self.journal.entries.values()):
@@ -126,6 +134,14 @@
         if self.recovering:
             asyncio.get_running_loop().call_soon(self._recover_slice)
 
+    def _look_at_the_clock(self) -> None:
+        ahead = newest_time(self.journal.entries.values()) - time.time_ns() // MS
+        self.clock_is_sure = ahead <= 0
+        if ahead > 0:
+            log.warning(
+                "the clock was set back by %d ms or more: no keyed message that may have run is sent again", ahead
+            )
+
     def _take_up(self, entries: list[Entry]) -> None:
         now_ms = time.time_ns() // MS
         for entry in entries:
@@ -133,25 +149,26 @@
                 self.recovery_stats.find(entry.ref)
             ends_at = time.monotonic_ns() + (entry.deadline - now_ms) * MS
             self.held[entry.ref] = PendingMessage(entry.ref, entry.klass, entry.key, entry.body, ends_at, entry.attempts)
-            self.post(self._recovered(entry, now_ms))
+        if entries:
+            self.taken_up += entries
+            self._turn_is_due()
 
-    def _recovered(self, entry: Entry, now_ms: int) -> io.Recovered:
+    def _recovered(self, entry: Entry, now: int) -> io.Recovered:
+        """As the Pacer hears of it in a turn. ``now``: the turn's time by the wall clock. What passes between taking a
+        message up and its turn would lengthen its window for repeats, and its time."""
         passed = None if self.inheritance is None else self.inheritance.calls.get(entry.ref)
         out = None if passed is None else passed[0]  # its attempt is out still
         if out is None and entry.ran_at is None and entry.trying_at is not None:  # no outcome came: it may have run
             entry.ran_at, entry.ran_zone = entry.trying_at, entry.trying_zone
-        ran_ago = None if entry.ran_at is None else max(0, now_ms - entry.ran_at) * MS
-        if entry.uncertain:  # an attempt may be missing: no window and no building is sure
-            ran_ago = 365 * 86400 * SECOND
         zones = self.config.zone_names
         return io.Recovered(
             call=entry.ref,
             klass=self.class_numbers[entry.klass],
             dest=entry.dest,
             key=entry.key,
-            patience=(entry.deadline - now_ms) * MS,
+            patience=entry.deadline * MS - now,
             attempts=entry.attempts,
-            ran_ago=ran_ago,
+            ran_ago=ran_ago(entry, now, self.clock_is_sure),
             ran_zone=zones.index(entry.ran_zone) if entry.ran_zone in zones else -1 if out is None else out.zone,
             host=None if out is None else out.name,
             sent_at=0 if out is None else out.started,
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -20,7 +20,8 @@
 from garnetrelay.counters import Counters
 from garnetrelay.delivery.http import hosts as net
 from garnetrelay.delivery.http.answers import Outcome
-from garnetrelay.fronts.resp.server import Rejected, Reply, Request, Server
+from garnetrelay.fronts.resp.requests import RejectedError, Request
+from garnetrelay.fronts.resp.server import Reply, Server
 from garnetrelay.loop_lag import LoopLag
 from garnetrelay.membership.register import Discovery, News, Reader
 from garnetrelay.pending import PendingMessage
@@ -177,7 +178,9 @@
         self.dests: set[int] = set()  # all that the list has ever named
         self.held: dict[str, PendingMessage] = {}
         self.recovery_stats = RecoveryStats()
-        self.recovering: deque[Entry] = deque()  # picked up, and not yet with the Pacer
+        self.recovering: deque[Entry] = deque()  # picked up, and not yet taken up
+        self.taken_up: list[Entry] = []  # and not yet with the Pacer: it hears of them in the coming turn
+        self.clock_is_sure = True  # no time that the journal has lies ahead of the wall clock
         self.newcomers: dict[str, Newcomer] = {}
         self.inbox: list[io.Event] = []
         self.turn_due = False
@@ -210,7 +213,7 @@
 
     def _host_room(self) -> int:
         """How many more connections to hosts there may be."""
-        clients = max(self.config.client_sockets, len(self.server.connections))
+        clients = max(self.config.client_sockets, len(self.server.connections) - self.server.turned_away)
         return self.config.shared_sockets - clients - self.hosts.count
 
     def _client_room(self) -> int:
@@ -377,18 +380,18 @@
     def on_request(self, request: Request, reply: Reply) -> None:
         """A client hands in a message. It is answered within the coming turn."""
         if request.klass not in self.class_numbers:
-            raise Rejected(f"unknown class '{request.klass[:40]}'")
+            raise RejectedError(f"unknown class '{request.klass[:40]}'")
         if request.dest not in self.dests:
             if not self.discovery.heard:  # the list that we started with may be old: that it does not name it says little
                 self.counts.refused[request.klass] += 1
                 reply.busy(0)
                 return
-            raise Rejected(f"unknown destination {request.dest}")
+            raise RejectedError(f"unknown destination {request.dest}")
         klass = self.settings.classes[self.class_numbers[request.klass]]
         if klass.repeat is io.Repeat.KEYED and request.key is None:
-            raise Rejected("'k' is missing")  # without its key no host could drop a repeat
+            raise RejectedError("'k' is missing")  # without its key no host could drop a repeat
         if request.patience_ms * MS > 2 * klass.deadline:
-            raise Rejected("'d' is far over the class's deadline")
+            raise RejectedError("'d' is far over the class's deadline")
         if request.patience_ms <= 0:  # it has lain unread for as long as it might be delivered
             self.counts.refused[request.klass] += 1
             reply.busy(0)
@@ -454,6 +457,9 @@
     def post(self, event: io.Event) -> None:
         """One batch holds all that is ready: the turn runs when the loop has read what lies there."""
         self.inbox.append(event)
+        self._turn_is_due()
+
+    def _turn_is_due(self) -> None:
         if not self.turn_due:
             self.turn_due = True
             self.looked_at = time.monotonic_ns()
@@ -489,6 +495,10 @@
         now = time.monotonic_ns()
         if self.lag.news(now):
             events.insert(0, io.Lagging(self.lag.value))
+        if self.taken_up:
+            taken_up, self.taken_up = self.taken_up, []
+            wall = time.time_ns()  # behind ``now``: what passes between the two closes windows early, never late
+            events += [self._recovered(entry, wall) for entry in taken_up]
         actions = self.pacer.handle(now, events)
         newcomers = self._note_newcomers({a.call for a in actions if isinstance(a, io.Refuse | io.Fail)})
         self.hosts.gather()
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -36,7 +36,7 @@
     ("garnetrelay.fleet.leases",),
     ("garnetrelay.config",),
     ("garnetrelay.fronts", "garnetrelay.delivery", "garnetrelay.membership"),
-    ("garnetrelay.platform", "garnetrelay.pending", "garnetrelay.ownership"),
+    ("garnetrelay.platform", "garnetrelay.pending", "garnetrelay.recorded_times"),
     ("garnetrelay.handover",),
     ("garnetrelay.operators",),
     ("garnetrelay.fleet",),
@@ -62,6 +62,7 @@
     "garnetrelay.store.cleaning",
     "garnetrelay.store.format",
     "garnetrelay.store.index",
+    "garnetrelay.recorded_times",
     "garnetrelay.recovery_stats",
     "garnetrelay.handover.protocol",
 )
