--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -24,6 +24,7 @@
     upgrade,
     watches,
 )
+from benchmarks.capacity import command as capacity_command
 from benchmarks.kit import carried
 from benchmarks.peers import Cost, measure
 
@@ -198,6 +199,7 @@
             )
         )
     )
+    capacity_command.register(commands)
     options = parser.parse_args()
     print(machine())
     options.run(options)
