Leases: a grant on a controller's record is asked for again, refused before or not

Cause: a partition that may be on record and stood under 'ask later' was neither asked for nor released, and held up renewals there; the next moment lay in the past, so the driver would spin.

Change: what may be on record is asked for at once.

Measured: the test fails without the mend.

--- a/garnetrelay/fleet/leases/holder.py
+++ b/garnetrelay/fleet/leases/holder.py
@@ -62,6 +62,8 @@
         self.settings = settings
         self.figures: Counter[str] = Counter()
         self._random = random
+        self._holder_time = settings.holder_time
+        self._quorum = settings.quorum
         self._links = [Link(number, session, settings.terms) for number in range(settings.controllers)]
         self._claims: dict[int, _Claim] = {}
         self._known: dict[int, int] = {}  # the highest epoch by partition that was heard of or used here
@@ -91,7 +93,7 @@
 
     def reached(self, now: int) -> list[int]:
         """Controllers that accepted a request which still counts."""
-        since = now - self.settings.holder_time
+        since = now - self._holder_time
         return [link.controller for link in self._links if link.accepted_at is not None and link.accepted_at > since]
 
     @property
@@ -222,10 +224,10 @@
     def _weigh_round(self, now: int, partition: int, claim: _Claim) -> None:
         """A refusal: where no majority is left for this epoch, the round is given up until one may be free."""
         refused = self._refused[partition]
-        if len(refused) <= self.settings.controllers - self.settings.quorum or claim.ends > now:
+        if len(refused) <= self.settings.controllers - self._quorum or claim.ends > now:
             return
         free = sorted([now] * (self.settings.controllers - len(refused)) + list(refused.values()))
-        free_at = free[self.settings.quorum - 1]
+        free_at = free[self._quorum - 1]
         self._give_up_round(now, partition, claim)
         if free_at <= now and claim.tries == 1:
             claim.retry_at = now  # only the epoch was too low
@@ -271,7 +273,7 @@
 
     def _begin_rounds(self, now: int) -> None:
         """Nothing new is asked for with no majority within reach, nor is anything given up then."""
-        in_reach = len(self.reached(now)) >= self.settings.quorum
+        in_reach = len(self.reached(now)) >= self._quorum
         later = now + self.settings.first_retry
         for partition, claim in self._claims.items():
             if claim.epoch and not claim.owned and now >= claim.round_ends:
@@ -313,7 +315,9 @@
 
     def _to_acquire(self, now: int, link: Link) -> Iterator[Grant]:
         for partition, claim in self._claims.items():
-            if claim.epoch and partition not in link.votes and now >= link.ask_at.get(partition, 0):
+            if not claim.epoch or partition in link.votes:
+                continue
+            if partition in link.unsure or now >= link.ask_at.get(partition, 0):
                 yield Grant(partition, claim.epoch)
 
     def _link_at(self, link: Link) -> int:
@@ -340,8 +344,8 @@
                 for link in self._links
                 if (vote := link.votes.get(partition)) is not None and vote.epoch == claim.epoch
             )
-            enough = len(sent) >= self.settings.quorum
-            claim.ends = sent[-self.settings.quorum] + self.settings.holder_time if enough else 0
+            enough = len(sent) >= self._quorum
+            claim.ends = sent[-self._quorum] + self._holder_time if enough else 0
 
     def _drop(self, partition: int) -> None:
         for link in self._links:
--- a/tests/fleet/leases/test_faults.py
+++ b/tests/fleet/leases/test_faults.py
@@ -464,3 +464,15 @@
         counts.append(sum(sender == second.session for sender, _, _ in cluster.messages) / 3)
         cluster.messages.clear()
     assert counts[0] < 14 and max(counts[2:]) < 8
+
+
+def test_a_grant_on_record_that_was_refused_before_is_asked_for_again() -> None:
+    """A refusal said to ask later; then the controller turns out to have the grant. Nothing may spin or stay unsure."""
+    cluster = Cluster().start_all()
+    owner = _owner(cluster)
+    link = owner._links[0]
+    vote = link.votes.pop(3)
+    link.ask_at[3] = 1 << 62
+    assert vote.epoch == 1
+    assert cluster.run(3 * SETTINGS.renew_every, lambda: 3 in link.votes)
+    assert not link.unsure and owner.next_at > cluster.now - SECOND
