--- a/tests/fleet/leases/explore.py
+++ b/tests/fleet/leases/explore.py
@@ -121,7 +121,7 @@
     bounds: Bounds  # what is left of them
 
 
-class Broken(Exception):
+class BrokenError(Exception):
     """A property does not hold."""
 
 
@@ -235,7 +235,7 @@
                     if after not in came:
                         came[after] = (world, text)
                         waiting.append(after)
-            except Broken as broken:
+            except BrokenError as broken:
                 trace, back = [text], came[world]
                 while back is not None:
                     trace.insert(0, back[1])
@@ -560,7 +560,7 @@
             record = world.folders[controller][-1]
             same = record.epoch == grant.epoch and (record.relay, record.session) == session
             if not same and record.epoch <= grant.epoch:
-                raise Broken(f"C{controller} says a grant that is not on record")
+                raise BrokenError(f"C{controller} says a grant that is not on record")
 
     def judged(self, world: World) -> World:
         """Never two owners; an owner's epoch is higher than that of each owner before."""
@@ -570,11 +570,11 @@
             if epoch:
                 owners.append((epoch, self.met[relay].session))  # type: ignore[union-attr]
         if len(owners) > 1:
-            raise Broken("two relays own it at one time")
+            raise BrokenError("two relays own it at one time")
         for epoch, session in owners:
             highest, who = world.past
             if epoch < highest or (epoch == highest and session != who):
-                raise Broken(f"it is owned in epoch {epoch}, and was by another in epoch {highest}")
+                raise BrokenError(f"it is owned in epoch {epoch}, and was by another in epoch {highest}")
             world = world._replace(past=(epoch, session))
         if self.kinds.numbers and world.flying:
             world = world._replace(flying=tuple(each for each in world.flying if self.alive(world, each[1], each[2])))
