--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -1,6 +1,6 @@
 """Every decision of a relay: when each held message is sent, where, how often, and how it ends.
 
-The types it is told and answers with stand in ``interface.py``. The mechanism is that of "Adaptive
+The types it is told and answers with stand in ``io.py``. The mechanism is that of "Adaptive
 Architecture": a rate ceiling for each destination, cut to 0.75 on runs of refusals and climbing back more
 slowly along an exponential curve, and calls out sized by Little's Law (rate times mean response time).
 Order of work in one turn: take in all events, end what must end, then one planning pass sends.
@@ -19,7 +19,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from starlingwick import interface
+from starlingwick import interface as io
 from starlingwick.hold import NEVER, Due, Key, Lane, Owed, Queue, Ranking
 
 SECOND = 1_000_000_000
@@ -62,13 +62,13 @@
 UNUSED_PART = 8.0  # what of its part a relay sends more for each whole of a limit beyond that
 ASK_SHARE = SECOND // 10  # of discovery's time, for each relay that may ask as well
 ASK_TIME = 2 * SECOND  # for which a call may wait at discovery: the protocol's figure
-ASK_AGAIN = 15 * SECOND // 4  # from one asking to the next: a change counts as told after 6 s, ASK_TIME among them
-ASK_SOON = 3 * SECOND // 4  # at most, until a watch that broke is opened anew: its silence took 3.2 s of the 6 s
+ASK_AGAIN = 15 * SECOND // 4  # from one asking to the next: told counts after 6 s, ASK_TIME among them
+ASK_SOON = 3 * SECOND // 4  # at most, until a broken watch is opened anew: its silence took 3.2 s of 6
 BURST = 2  # calls that may catch up on an allowance
 BUDGET = 0.9  # of this relay's part of what a cold destination can take: the estimate of capacity is noisy
 
-MAY_STILL_RUN = (interface.Status.TIMEOUT, interface.Status.RESET, interface.Status.CANCELLED)
-MAY_HAVE_RUN = (interface.Status.ERROR, interface.Status.SPOILT, *MAY_STILL_RUN)
+MAY_STILL_RUN = (io.Status.TIMEOUT, io.Status.RESET, io.Status.CANCELLED)
+MAY_HAVE_RUN = (io.Status.ERROR, io.Status.SPOILT, *MAY_STILL_RUN)
 
 
 @dataclass(slots=True, eq=False)
@@ -78,7 +78,7 @@
     name: str
     zone: int
     usable: bool = True
-    listed: interface.Availability = interface.Availability.RUNNING
+    listed: io.Availability = io.Availability.RUNNING
     calls: int = 0
     probing: bool = False
     last_sent: int = 0
@@ -147,7 +147,7 @@
     """A message held: its attempts, whether one may have run, and its times."""
 
     name: str
-    klass: interface.MessageClass
+    klass: io.MessageClass
     dest: int
     key: str | None
     worth: float
@@ -171,14 +171,14 @@
 class Pacer:
     """The decisions of one relay. Feed it events; carry out what it answers."""
 
-    def __init__(self, settings: interface.Settings, seed: int) -> None:
+    def __init__(self, settings: io.Settings, seed: int) -> None:
         self.settings = settings
         self.random = random.Random(seed)
         self.least_aim = min(c.aim for c in settings.classes)
         self.most_there = max(1, int(SLOT_SHARE * settings.slots))  # calls out at one destination
         self.now = 0
         self.started: int | None = None
-        self.actions: list[interface.Action] = []
+        self.actions: list[io.Action] = []
         self.messages: dict[str, Message] = {}
         self.waiting: dict[int, Lane[Message]] = {}  # by destination number: held, no attempt out
         self.held = 0
@@ -215,42 +215,42 @@
         self.alarm_at = NEVER
         self.wake_at = NEVER
 
-    def handle(self, now: int, events: Iterable[interface.Event]) -> list[interface.Action]:
+    def handle(self, now: int, events: Iterable[io.Event]) -> list[io.Action]:
         """Take in a batch of events, then plan; the actions take effect at ``now``."""
         self.now = now
         self.actions = []
         self.wake_at = NEVER
         if self.started is None:
             self.started = now
-            if self.settings.discovery is interface.Discovery.SUBSCRIBE:
+            if self.settings.discovery is io.Discovery.SUBSCRIBE:
                 spread = self.no_later(1, ASK_SHARE * self.settings.relays)  # few are answered at once anyway
                 self.ask_at = now + (round(self.random.uniform(0, spread)) if spread > SECOND else 0)
         for event in events:
             match event:
-                case interface.Arrived():
+                case io.Arrived():
                     self.on_arrived(event)
-                case interface.Verdict():
+                case io.Verdict():
                     self.on_verdict(event)
-                case interface.Recovered():
+                case io.Recovered():
                     self.on_recovered(event)
-                case interface.Stopping():
+                case io.Stopping():
                     self.stopping_at = event.at
                     self.touched.update(dict.fromkeys(self.waiting.values()))
-                case interface.Lagging():
+                case io.Lagging():
                     if (event.lag > MOST_LAG) != (self.lag > MOST_LAG):
                         says = "newcomers are refused" if event.lag > MOST_LAG else "it keeps up again"
                         self.log(f"loop lags by {event.lag / SECOND:.2f} s: {says}")
                     self.lag = event.lag
-                case interface.Withdrawn():
+                case io.Withdrawn():
                     if event.call in self.messages:
                         self.finish(self.messages[event.call])
-                case interface.Roster():
+                case io.Roster():
                     self.on_roster(event)
-                case interface.Probed():
+                case io.Probed():
                     self.on_probed(event)
-                case interface.Excluded():
+                case io.Excluded():
                     self.on_excluded(event)
-                case interface.Alarm():  # a coarser clock may bring it a moment early: it is spent all the same
+                case io.Alarm():  # a coarser clock may bring it a moment early: it is spent all the same
                     if event.token == self.alarm:
                         self.alarm_at = NEVER
         if self.alarm_at <= now:
@@ -264,17 +264,17 @@
         if self.wake_at < self.alarm_at:
             self.alarm_at = max(self.wake_at, now + 1)
             self.alarm += 1
-            self.actions.append(interface.Wake(self.alarm_at - now, self.alarm))
+            self.actions.append(io.Wake(self.alarm_at - now, self.alarm))
         return self.actions
 
     # ---- the list of hosts
 
     def ask(self) -> None:
-        """Subscribe, and again until it is answered. Discovery serves all relays in turn: asked by all that were
-        restarted together, and again at once by all whose call ran out, it works on calls that nobody waits for
-        any more, and is never done."""
+        """Subscribe, and again until it is answered. Discovery serves all relays in turn: asked by all that
+        were restarted together, and again at once by all whose call ran out, it works on calls that nobody
+        waits for any more, and is never done."""
         if self.now >= self.ask_at and not self.subscribed:
-            self.actions.append(interface.Subscribe())
+            self.actions.append(io.Subscribe())
             self.asked_at, self.ask_at = self.now, self.now + 2 * ASK_AGAIN  # its end comes long before
         if not self.subscribed:
             self.wake_at = min(self.wake_at, self.ask_at)
@@ -284,10 +284,10 @@
         return max(3 * SECOND // 2, self.no_later(4, min(ASK_AGAIN, 2 * ASK_SHARE * self.settings.relays)))
 
     def step_after_failure(self) -> int:
-        """The longest gap after a call that was not taken up. What discovery could tell meanwhile counts as told,
-        whatever became of the call, so the next one comes in time for that. Only where a second call in a row has
-        waited out its time is discovery taken to be asked by more than it can answer, and gaps double: a call
-        that it turns away, or that it leaves without a word, costs it nothing."""
+        """The longest gap after a call that was not taken up: the next one comes in time for what discovery
+        could tell meanwhile, as that counts as told. Only where a second call in a row has waited out its
+        time is discovery taken to be asked by more than it can answer, and gaps double: a call that it turns away,
+        or that it leaves without a word, costs it nothing."""
         self.waited_out += ASK_TIME <= self.now - self.asked_at < ASK_TIME + SECOND // 2
         if self.waited_out > 1:
             return self.no_later(4, ASK_AGAIN << min(self.waited_out - 1, 4))
@@ -300,8 +300,8 @@
         within = self.settings.rules.ask_every
         return min(gap, max(SECOND, times * within - ASK_TIME)) if within else gap
 
-    def on_roster(self, event: interface.Roster) -> None:
-        if event.scope is interface.ListScope.FAILED:
+    def on_roster(self, event: io.Roster) -> None:
+        if event.scope is io.ListScope.FAILED:
             # One that worked fell silent or was closed: the list is old soon. One that was not taken up says
             # that discovery is down or has too many callers.
             worked, self.subscribed = self.subscribed, False
@@ -312,18 +312,18 @@
                 gap = self.step_after_failure() * self.random.uniform(0.5, 1.0)
             self.ask_at = self.now + round(gap)
             return
-        if event.scope is not interface.ListScope.CACHED:
+        if event.scope is not io.ListScope.CACHED:
             self.subscribed, self.waited_out = True, 0
             self.ask_step = self.first_step()
         for entry in event.entries:
             self.on_entry(entry)
-        if event.scope is not interface.ListScope.CHANGES:
+        if event.scope is not io.ListScope.CHANGES:
             named = {entry.host for entry in event.entries}
             for name in [name for name in self.hosts if name not in named]:
                 self.forget(name)
 
-    def on_entry(self, entry: interface.HostEntry) -> None:
-        if entry.availability is interface.Availability.DELETED:
+    def on_entry(self, entry: io.HostEntry) -> None:
+        if entry.availability is io.Availability.DELETED:
             self.forget(entry.host)
             return
         if entry.host not in self.hosts:
@@ -335,21 +335,21 @@
             routes[-1].hosts.append(self.hosts[entry.host][1])
         dest, host = self.hosts[entry.host]
         self.touch(dest.number)
-        host.usable = entry.availability is interface.Availability.RUNNING and entry.host not in self.excluded
+        host.usable = entry.availability is io.Availability.RUNNING and entry.host not in self.excluded
         host.listed = entry.availability
         if self.settings.listed_rates and not dest.listed and LEAST_LIMIT <= entry.rate <= MOST_LIMIT:
             dest.agreed = dest.listed = entry.rate
             if self.settings.relays >= MANY:  # which start together, and with nothing saved up
                 dest.spaced = self.now - round(self.random.random() * self.spacing(dest))
 
-    def on_excluded(self, event: interface.Excluded) -> None:
+    def on_excluded(self, event: io.Excluded) -> None:
         """By hand a host drains until the call that puts it back. It was restarted meanwhile and is cold: so
         is all that is paced with it, unless others there served on."""
         (self.excluded.add if event.out else self.excluded.discard)(event.host)
         if event.host not in self.hosts:
             return
         dest, host = self.hosts[event.host]
-        was, host.usable = host.usable, host.listed is interface.Availability.RUNNING and not event.out
+        was, host.usable = host.usable, host.listed is io.Availability.RUNNING and not event.out
         if host.usable and not was and not any(one.usable for one in dest.hosts if one is not host):
             self.size_up(dest, self.now)
             dest.ramp_from = self.now
@@ -382,10 +382,10 @@
         self.tenant_due[tenant] = due + gap if due <= self.now else due
         return due <= self.now
 
-    def on_arrived(self, event: interface.Arrived) -> None:
+    def on_arrived(self, event: io.Arrived) -> None:
         if not event.storable or self.lag > MOST_LAG:
             # What cannot be kept is not taken on, nor what cannot be kept up with: the promises come first.
-            self.actions.append(interface.Refuse(event.call, 0 if not event.storable else self.hold_off(SECOND)))
+            self.actions.append(io.Refuse(event.call, 0 if not event.storable else self.hold_off(SECOND)))
             return
         klass = self.settings.classes[event.klass]
         worth = klass.worth
@@ -409,7 +409,7 @@
         for route in self.routes.get(event.dest, ()):
             self.mark(route.arrived, SENT_SPAN)
 
-    def on_recovered(self, r: interface.Recovered) -> None:
+    def on_recovered(self, r: io.Recovered) -> None:
         """Take up again what an earlier life held: its attempts count on, and so does what may have run."""
         klass = self.settings.classes[r.klass]
         m = Message(
@@ -441,7 +441,7 @@
                 self.owed.setdefault(m.dest, Owed()).add(m)
             self.enter(m)
 
-    def owes_try(self, r: interface.Recovered) -> bool:
+    def owes_try(self, r: io.Recovered) -> bool:
         """Whether an earlier life took it on and never tried it."""
         return not r.attempts and r.ran_ago is None
 
@@ -459,7 +459,8 @@
         pace that its destination takes: fresher ones are worth more, and would always go first."""
         if lane.number not in self.owed:
             return []
-        owed = [m for m in self.owed[lane.number].first(LOOKED_AT) if m.call is None and m.name not in lane.aside]
+        first = self.owed[lane.number].first(LOOKED_AT)
+        owed = [m for m in first if m.call is None and m.name not in lane.aside]
         pace = sum(self.rate(r.sent, SENT_SPAN) for r in self.routes.get(lane.number, ()))
         gap = round(SECOND / max(pace, SECOND / CUT_SPAN))
         found: list[Message] = []
@@ -520,7 +521,7 @@
             return 0.0
         if late <= 0:
             return m.worth
-        if self.settings.decay is interface.Decay.BY_HALF:
+        if self.settings.decay is io.Decay.BY_HALF:
             halves: float = 0.5 ** (late / m.klass.aim)
             return m.worth * max(m.klass.late_worth, halves)
         return m.worth * (1 - (1 - m.klass.late_worth) * late / (m.deadline - m.aim_at))
@@ -529,9 +530,9 @@
         """Rule 2: a refusal promises that trying again is harmless."""
         if m.ran_at is None and m.call is None:
             return True
-        if m.klass.repeat is interface.Repeat.KEYED:
-            return m.klass.key_scope is interface.Scope.ALL
-        return m.klass.repeat is interface.Repeat.SAFE
+        if m.klass.repeat is io.Repeat.KEYED:
+            return m.klass.key_scope is io.Scope.ALL
+        return m.klass.repeat is io.Repeat.SAFE
 
     def may_shed(self, m: Message) -> bool:
         """Whether a message may make room for others: that of an earlier life has been promised a try."""
@@ -539,14 +540,14 @@
 
     def may_repeat(self, m: Message, host: Host | None) -> bool:
         """Rule 2: whether a message may be sent (to that host, or to any) after what may have run."""
-        if m.ran_at is None or m.klass.repeat is interface.Repeat.SAFE:
+        if m.ran_at is None or m.klass.repeat is io.Repeat.SAFE:
             return True
-        if m.klass.repeat is interface.Repeat.UNSAFE or self.now >= m.ran_at + m.klass.repeat_window:
+        if m.klass.repeat is io.Repeat.UNSAFE or self.now >= m.ran_at + m.klass.repeat_window:
             return False
         return (
             host is None
-            or m.klass.key_scope is interface.Scope.ALL
-            or (m.klass.key_scope is interface.Scope.ZONE and host.zone == m.ran_zone)
+            or m.klass.key_scope is io.Scope.ALL
+            or (m.klass.key_scope is io.Scope.ZONE and host.zone == m.ran_zone)
         )
 
     def end(self, m: Message, opens: int = 0, ran: bool = False) -> None:
@@ -556,7 +557,7 @@
             return
         hold_off = self.hold_off(opens - self.now)
         refuse = not ran and self.may_refuse(m)
-        self.actions.append(interface.Refuse(m.name, hold_off) if refuse else interface.Fail(m.name))
+        self.actions.append(io.Refuse(m.name, hold_off) if refuse else io.Fail(m.name))
         self.finish(m)
 
     def hold_off(self, time: int) -> int:
@@ -670,7 +671,7 @@
             return when
         if when <= m.aim_at:
             return NEVER
-        if self.settings.decay is interface.Decay.BY_HALF and klass.late_worth:
+        if self.settings.decay is io.Decay.BY_HALF and klass.late_worth:
             floor = klass.deadline - klass.aim - math.ceil(klass.aim * -math.log2(klass.late_worth))
             if when >= m.deadline - floor:
                 return when + floor
@@ -678,7 +679,7 @@
 
     # ---- outcomes
 
-    def on_verdict(self, v: interface.Verdict) -> None:
+    def on_verdict(self, v: io.Verdict) -> None:
         m = self.messages.get(v.call)
         if m is None or m.call is None or v.attempt != m.attempts - 1:
             return
@@ -695,7 +696,7 @@
             self.learn(call, v.status, v.cost, v.wait, v.report)
         if v.wait:  # rule 6; every outcome may tell a wait, also the others of one call
             call.dest.wait_until = max(call.dest.wait_until, self.now + v.wait)
-        if m.owed and v.status is not interface.Status.ABANDONED:
+        if m.owed and v.status is not io.Status.ABANDONED:
             self.settle_owed(m)
         if v.status in MAY_HAVE_RUN and m.ran_at is None:
             m.ran_at, m.ran_zone = call.sent_at, call.host.zone
@@ -706,16 +707,16 @@
                 del self.turn_rest[next(iter(self.turn_rest))]
         if v.finished or m.over:
             self.finish(m)
-        elif v.status is interface.Status.OK:  # an answer behind the message's time: it ran, and its end is still owed
+        elif v.status is io.Status.OK:  # an answer behind the message's time: it ran, its end is still owed
             self.end(m, ran=True)
-        elif self.is_spent(m) or v.status is interface.Status.MOOT and not v.no_slot:
+        elif self.is_spent(m) or v.status is io.Status.MOOT and not v.no_slot:
             self.end(m)  # moot, but not for want of a slot: no further attempt would go out either
         else:  # back into the hold, on a timer that grows with its attempts
             pause = min(REST << min(m.attempts - 1, 8), m.klass.aim)
             m.not_before = self.now + round(pause * self.random.uniform(0.5, 1.0))
             self.enter(m)
 
-    def on_probed(self, event: interface.Probed) -> None:
+    def on_probed(self, event: io.Probed) -> None:
         if event.host in self.hosts:
             dest, host = self.hosts[event.host]
             host.probing = False
@@ -723,7 +724,7 @@
             call = Call(dest, host, self.now - event.cost, [])
             self.learn(call, event.status, 0, 0, event.report)
 
-    def learn(self, call: Call, status: interface.Status, cost: int, wait: int, report: interface.Report | None) -> None:
+    def learn(self, call: Call, status: io.Status, cost: int, wait: int, report: io.Report | None) -> None:
         """What one call's outcome says of its destination and host."""
         dest, host = call.dest, call.host
         left: float | None = None  # share of the limit, where one is reported
@@ -732,7 +733,7 @@
             weight = 1 - math.exp((dest.left_at - self.now) / CLIMB_EVERY)
             dest.left += weight * (min(left, 1.0) - dest.left)
             dest.left_at = self.now
-        if status is interface.Status.OK:
+        if status is io.Status.OK:
             dest.refused_from = None
             self.pause(dest, False, left)
             host.last_ok_sent = max(host.last_ok_sent, call.sent_at)
@@ -745,20 +746,20 @@
                 if self.late_after(dest) < late and dest.calls:
                     self.blame_at = 0  # its calls may be overdue sooner, or be so already
             self.judge(dest, host, True)
-        elif status is interface.Status.CROWDED and dest.reports:
+        elif status is io.Status.CROWDED and dest.reports:
             lately = host.most if self.now < host.most_until else NEVER
             host.most, host.most_until = max(1, min(lately, call.beside)), self.now + CROWD_REST
-        elif status in (interface.Status.FULL, interface.Status.CROWDED):
+        elif status in (io.Status.FULL, io.Status.CROWDED):
             self.on_refused(call, wait, left)
-        elif status is interface.Status.SPOILT:  # no word on health, but an answer: those sent before are not overdue
+        elif status is io.Status.SPOILT:  # no word on health, but an answer: earlier calls aren't overdue
             host.last_ok_sent = max(host.last_ok_sent, call.sent_at)
-        elif status not in (interface.Status.CANCELLED, interface.Status.MOOT, interface.Status.ABANDONED):
+        elif status not in (io.Status.CANCELLED, io.Status.MOOT, io.Status.ABANDONED):
             # A call sent after it has been answered: its connection failed, not the host.
-            alone = status in (interface.Status.RESET, interface.Status.TIMEOUT) and host.last_ok_sent > call.sent_at
+            alone = status in (io.Status.RESET, io.Status.TIMEOUT) and host.last_ok_sent > call.sent_at
             if not call.blamed and not alone:
-                self.judge(dest, host, False, RESET_WEIGHT if status is interface.Status.RESET else BAD_WEIGHT)
+                self.judge(dest, host, False, RESET_WEIGHT if status is io.Status.RESET else BAD_WEIGHT)
 
-    def is_plausible(self, dest: Destination, report: interface.Report) -> bool:
+    def is_plausible(self, dest: Destination, report: io.Report) -> bool:
         """Whether a report may be believed, till the next one: it is another's word, and may be anything."""
         low, high = dest.agreed / TRUST or LEAST_LIMIT, dest.agreed * TRUST or MOST_LIMIT
         return low <= report.limit <= high and report.left <= MOST_LEFT
@@ -846,8 +847,8 @@
                 self.log(f"outage dest={dest.number} host={host.name} part={dest.part:.3f}/s")
 
     def back_since(self, dest: Destination) -> int:
-        """Nobody saw it come back: half of the time since the last failure, in the mean. Of many relays, whose trials
-        lie further apart than a ramp, the first to find it back would take it for warm: half of a ramp at most."""
+        """Nobody saw it come back: half of the time since the last failure, of a ramp at most: trials of many
+        relays lie further apart, and the first to find it back would take it for warm."""
         return self.now - min(self.now - dest.bad_at, self.settings.rules.ramp_time) // 2
 
     def is_cold(self, dest: Destination) -> bool:
@@ -857,7 +858,7 @@
     def next_cold(self, dest: Destination, start: int, calls: float) -> int:
         """Rule 4: when this relay's part of what a destination may get, in trouble or on the ramp, has grown
         by so many calls. All relays share it, also those that have no call for it: nobody knows how many have
-        one, and one of each may be more than it bears. Of unknown capacity, all together get a call a second."""
+        one, and one of each may be more than it bears. Of unknown capacity, all get a call a second."""
         rules = self.settings.rules
         part = max(dest.part, 1 / self.settings.relays) / SECOND
         pace = BUDGET * rules.fall_multiple * part
@@ -873,11 +874,11 @@
         if not self.settings.limits.cancel:
             return
         for m in call.messages:
-            may = m.klass.repeat is interface.Repeat.SAFE or (
-                m.klass.repeat is interface.Repeat.KEYED and self.now < call.sent_at + m.klass.repeat_window
+            may = m.klass.repeat is io.Repeat.SAFE or (
+                m.klass.repeat is io.Repeat.KEYED and self.now < call.sent_at + m.klass.repeat_window
             )
             if m.call is call and may and m.attempts < self.settings.limits.most_tries and not m.over:
-                self.actions.append(interface.Cancel(m.name, m.attempts - 1))
+                self.actions.append(io.Cancel(m.name, m.attempts - 1))
 
     def late_after(self, dest: Destination) -> int:
         return round(LATE * dest.mean) or self.least_aim
@@ -934,7 +935,8 @@
     def climb(self, dest: Destination) -> None:
         """The slower, exponential way back to the target; a ceiling that reaches it is dropped."""
         while dest.ceiling is not None and self.now >= dest.ceiling_at + CLIMB_EVERY:
-            target = dest.listed / self.settings.relays if dest.listed else 2 * self.rate(dest.arrived, SENT_SPAN)
+            wanted = 2 * self.rate(dest.arrived, SENT_SPAN)
+            target = dest.listed / self.settings.relays if dest.listed else wanted
             dest.ceiling_at += CLIMB_EVERY
             dest.ceiling += CLIMB_SHARE * max(0.0, target - dest.ceiling)
             if dest.ceiling >= REACHED * target:
@@ -999,7 +1001,7 @@
             when = max(when, self.turn_rest.get(m.key, 0))
         if not self.may_repeat(m, host):
             return NEVER
-        if m.klass.repeat is interface.Repeat.UNSAFE and dest.bad > SUSPECT and self.now < self.last_resort(m):
+        if m.klass.repeat is io.Repeat.UNSAFE and dest.bad > SUSPECT and self.now < self.last_resort(m):
             return NEVER
         return when
 
@@ -1030,7 +1032,7 @@
             return False
         return host.usable and now >= dest.wait_until
 
-    def slot_time(self, lane: Lane[Message], klass: interface.MessageClass) -> float:
+    def slot_time(self, lane: Lane[Message], klass: io.MessageClass) -> float:
         """How long a call there takes, by the quickest route."""
         means = [r.mean for r in self.routes.get(lane.number, ()) if r.mean]
         return min(means) if means else klass.aim / 4
@@ -1109,7 +1111,8 @@
         if opens >= NEVER:
             return []
         told = min(route.wait_until for route in self.routes[lane.number])
-        return [(m, opens) for m in lane.due_by(opens) if self.may_refuse(m) and (not m.owed or told >= m.deadline)]
+        due = lane.due_by(opens)
+        return [(m, opens) for m in due if self.may_refuse(m) and (not m.owed or told >= m.deadline)]
 
     def close(self, lane: Lane[Message]) -> None:
         self.open.drop(lane)
@@ -1145,7 +1148,7 @@
         lost then, and where the aim has just passed, and falls to both sides of either."""
         end = len(queue)
         klass = next(iter(queue)).klass
-        if suspect and klass.repeat is interface.Repeat.UNSAFE and self.settings.limits.probes:
+        if suspect and klass.repeat is io.Repeat.UNSAFE and self.settings.limits.probes:
             end = queue.until(self.now + klass.aim)  # the others may not go: see last_resort
         if end <= max(LOOKED_AT // 4, most):
             return queue.between(0, end)
@@ -1245,7 +1248,7 @@
             one.attempts += 1
             call.open += 1
             self.leave(one)
-            self.actions.append(interface.Send(one.name, host.name, self.give_up_at(one, dest)))
+            self.actions.append(io.Send(one.name, host.name, self.give_up_at(one, dest)))
         self.touch(m.dest)
         return bool(lane)
 
@@ -1274,13 +1277,13 @@
         table, and are dropped unseen. All relays together hold one no longer than a single relay might."""
         for host in self.freed:
             if not host.calls and host.gap > self.settings.limits.conn_idle // self.settings.relays:
-                self.actions.append(interface.Close(host.name))
+                self.actions.append(io.Close(host.name))
         self.freed.clear()
 
     def give_up_at(self, m: Message, dest: Destination) -> int:
         """A time-out can only help what may be sent again."""
         last = m.deadline - self.early()
-        if m.klass.repeat is interface.Repeat.UNSAFE:
+        if m.klass.repeat is io.Repeat.UNSAFE:
             return last
         return min(last, self.now + max(2 * self.late_after(dest), m.klass.aim))
 
@@ -1288,15 +1291,16 @@
         """Where only messages that cannot be repeated wait on a suspect host, a probe tries first."""
         for lane in list(self.suspects):
             alike = [m for queue in lane.queues.values() for m in queue.between(0, 1)]
-            if not any(m.klass.repeat is interface.Repeat.UNSAFE for m in (*alike, *lane.aside.values())):
+            if not any(m.klass.repeat is io.Repeat.UNSAFE for m in (*alike, *lane.aside.values())):
                 continue
             for dest in self.routes.get(lane.number, ()):
                 for host in dest.hosts:
-                    if dest.bad > SUSPECT and not host.probing and not host.calls and self.gate(dest, host) <= self.now:
+                    busy = host.probing or host.calls
+                    if dest.bad > SUSPECT and not busy and self.gate(dest, host) <= self.now:
                         host.probing = True
                         self.count_call(dest, host)
                         self.touch(dest.number)
-                        self.actions.append(interface.Probe(host.name, self.now + PROBE_TIME))
+                        self.actions.append(io.Probe(host.name, self.now + PROBE_TIME))
 
     def log(self, text: str) -> None:
-        self.actions.append(interface.Log(text))
+        self.actions.append(io.Log(text))
