--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from benchmarks import fleet, fleet_cost, restarts, simulator, store, turns, upgrade, watches
+from benchmarks import fleet, fleet_cost, leases, restarts, simulator, store, turns, upgrade, watches
 from benchmarks.kit import carried
 from benchmarks.peers import Cost, measure
 
@@ -133,6 +133,18 @@
     part.add_argument("--members", type=int, default=200)
     part.add_argument("--seconds", type=int, default=30)
     part.set_defaults(run=lambda chosen: fleet_cost.cost(chosen.members, chosen.seconds))
+    ten = commands.add_parser("leases", help=leases.__doc__)
+    parts = ten.add_subparsers(required=True)
+    part = parts.add_parser("faults", help=leases.faults.__doc__)
+    part.add_argument("--seeds", type=int, default=1000)
+    part.add_argument("--planted-seeds", type=int, default=100)
+    part.set_defaults(run=lambda chosen: leases.faults(chosen.seeds, chosen.planted_seeds))
+    part = parts.add_parser("size", help=leases.size.__doc__)
+    part.add_argument("--relays", type=int, default=620)
+    part.add_argument("--partitions", type=int, default=8192)
+    part.add_argument("--lease", type=int, default=15)
+    part.add_argument("--renew", type=int, default=4)
+    part.set_defaults(run=lambda chosen: leases.size(chosen.relays, chosen.partitions, chosen.lease, chosen.renew))
     eight = commands.add_parser("restarts", help=restarts.compare.__doc__)
     eight.add_argument("--seeds", type=int, default=20)
     eight.set_defaults(run=lambda chosen: restarts.compare(chosen.seeds))
--- a/tests/fleet/leases/explore.py
+++ b/tests/fleet/leases/explore.py
@@ -189,8 +189,9 @@
         return tuple(freeze(each) for each in value)
     if value is None or isinstance(value, int | str):
         return repr(value)
-    fields = getattr(value, "__dict__", None) or {name: getattr(value, name) for name in value.__slots__}
-    return freeze(fields)
+    if dataclasses.is_dataclass(value):
+        return freeze({each.name: getattr(value, each.name) for each in dataclasses.fields(value)})
+    return freeze(vars(value))
 
 
 class Explorer:
