--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -9,6 +9,8 @@
 from concurrent.futures import ProcessPoolExecutor
 from typing import Any
 
+import msgspec
+
 from garnetrelay.fleet.leases.controller import Controller
 from garnetrelay.fleet.leases.holder import Holder
 from garnetrelay.fleet.leases.messages import Answer, HolderEffect
@@ -45,6 +47,16 @@
         return super().receive(now, answer)
 
 
+class CountsOldAnswers(Holder):
+    """Planted: takes any answer for one to the request under way."""
+
+    def receive(self, now: int, answer: Answer) -> list[HolderEffect]:
+        request = self._links[answer.controller].request
+        if request is not None:
+            answer = msgspec.structs.replace(answer, number=request.message.number)
+        return super().receive(now, answer)
+
+
 class ForgetsLeases(Controller):
     """Planted: another session need not wait."""
 
@@ -58,6 +70,7 @@
     "none": {},
     "no wait after a start": {"controller": NoWait},
     "counted from the answer": {"holder": CountsFromTheAnswer},
+    "old answers count": {"holder": CountsOldAnswers},
     "leases of a second": {"controller": ForgetsLeases},
 }
 
--- a/tests/fleet/leases/planted.py
+++ b/tests/fleet/leases/planted.py
@@ -25,7 +25,7 @@
 from garnetrelay.fleet.leases.recovery import Recovery
 from garnetrelay.fleet.leases.register import Register
 from garnetrelay.fleet.leases.settings import Settings
-from tests.fleet.leases.explore import DRIFT, SETTINGS, Asked, Bounds, Kinds
+from tests.fleet.leases.asked import DRIFT, SETTINGS, Asked, Bounds, Kinds
 
 
 class NoWait(Controller):
@@ -170,3 +170,15 @@
         Bounds(time=2, requests=5, late=2),
     ),
 )
+
+# What no fault above needs: nothing is planted, and all has to hold.
+ALL_HOLDS = (
+    ("messages late twice", Kinds(), Bounds(time=1, requests=4, late=2)),
+    (
+        "doubles, relays that start again, full disks",
+        Kinds(),
+        Bounds(1, 3, late=1, doubles=1, relay_restarts=1, failed_writes=1),
+    ),
+    ("an old folder", Kinds(), Bounds(time=2, requests=4, old_folders=1)),
+    ("a clock that is ahead", Kinds(settings=DRIFT), Bounds(time=4, requests=4, ahead=1)),
+)
