--- a/benchmarks/starts.py
+++ b/benchmarks/starts.py
@@ -19,18 +19,27 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.peers import SETTINGS, free_port, memory_mb
+from benchmarks.peers import SETTINGS, memory_mb
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
 
 ROOT = Path(__file__).parent.parent
 NEARLY_FULL = 0.75  # of the disk, for records of what has ended: beyond it the store makes room
+ENDED = 3  # messages that ended, for each that stays, where the store cleans up
 MOST_BODY = 1000  # bytes
 CLASSES = ("safe", "keyed", "unsafe")  # as SETTINGS has them
 DESTS = 26
+NOBODY = "127.0.0.1:1"  # discovery: refuses connections, and a start waits for none
 LISTENS = b"serves on"  # in the log line of a relay that is ready
 PICKED_UP = b"picked up "  # in the line that tells of a journal with messages
 IMAGE_BEGINS = "transferring control:"  # what the dynamic linker says of each program that it hands over to
+JOURNALS = (  # title, whether it is full, cleaned up as it was filled, of classes that keep an order by key
+    ("empty", False, False, False),
+    ("full, cleaned", True, True, False),
+    ("the same, in order", True, True, True),
+    ("full, not cleaned", True, False, False),
+    ("the same, in order", True, False, True),
+)
 
 
 @dataclass(frozen=True)
@@ -58,7 +67,6 @@
 
 def environment(folder: Path, disk_mb: int, in_order: bool) -> dict[str, str]:
     """A configuration in a folder of its own, with classes that keep an order by key or do not."""
-    silent = f"127.0.0.1:{free_port()}"  # discovery: nobody answers there, and the start does not wait for it
     endpoints = [
         {
             "name": f"h{n}",
@@ -80,8 +88,8 @@
     }
     configuration: dict[str, Any] = {
         "name": "n0",
-        "listen": f"127.0.0.1:{free_port()}",
-        "discovery": silent,
+        "listen": "127.0.0.1:0",
+        "discovery": NOBODY,
         "seed": "1",
         "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": disk_mb},
         "known": {"index": 1, "snapshot": True, "endpoints": endpoints},
@@ -96,13 +104,14 @@
         "RELAY_CONFIG": str(path),
         "RELAY_STATE": str(folder / "state"),
         "RELAY_LISTEN": configuration["listen"],
-        "RELAY_DISCOVERY": silent,
+        "RELAY_DISCOVERY": NOBODY,
     }
 
 
-def fill(state: Path, disk_bytes: int, seed: int) -> Filled:
-    """The fullest journal that the settings allow: records of messages that have ended until the disk is nearly full,
-    then live ones with their attempts until no other is admitted. The relay itself cleans up sooner."""
+def fill(state: Path, disk_bytes: int, seed: int, cleaned: bool) -> Filled:
+    """The fullest journal that the settings allow: live messages with their attempts until no other is admitted. Others
+    have ended: some between them, where the store cleans up behind each as it does in a relay (``cleaned``), or as many
+    ahead of them as nearly fill the disk."""
     draw = random.Random(seed)
     most_body = draw.choice((0, 50, MOST_BODY))
     later = round(time.time() * 1000) + 3_600_000
@@ -112,22 +121,25 @@
         ref, body = f"{draw.getrandbits(64):016x}", draw.randbytes(draw.randint(0, most_body))
         return Entry(ref, draw.choice(CLASSES), draw.randrange(DESTS), ref, later, body)
 
-    def add(entry: Entry) -> None:
+    def put(entry: Entry, ended: bool) -> None:
         store.taken(entry)
         for _ in range(draw.randrange(6)):
             store.trying(entry.ref, "north", later)
             store.outcome(entry.ref, entry.klass == "safe")
-
-    while store.used < NEARLY_FULL * disk_bytes:
-        ended = message()
-        add(ended)
-        store.ended(ended.ref, None)
+        if ended:
+            store.ended(entry.ref, None)
         store.flush()
+        if cleaned:
+            store.tend()
+
+    while not cleaned and store.used < NEARLY_FULL * disk_bytes:
+        put(message(), True)
     live = 0
     while store.has_room((entry := message()).ref, entry.key, len(entry.body)):
-        add(entry)
-        store.flush()
+        put(entry, False)
         live += 1
+        for _ in range(ENDED if cleaned else 0):
+            put(message(), True)
     store.close()
     return Filled(live, sum(file.stat().st_size for file in state.iterdir()))
 
@@ -183,18 +195,20 @@
         print(f"{command}\nimages: {', '.join(images(command, told, Path(name)))}")
     print(f"{runs} starts each, a new seed for each full journal of {disk_mb} MB")
     print(
-        f"{'journal':<16}{'CPU ms: median':>16}{'most':>8}{'threads':>9}{'MB: median':>12}{'most':>8}  messages, MB of it"
+        f"{'journal':<20}{'CPU ms: median':>16}{'most':>8}{'threads':>9}{'MB: median':>12}{'most':>8}  messages, MB of it"
     )
-    for title, full, in_order in (("empty", False, False), ("full", True, False), ("full, in order", True, True)):
+    for title, full, cleaned, in_order in JOURNALS:
         starts: list[Start] = []
         filled: list[Filled] = []
         for seed in range(runs):
             with tempfile.TemporaryDirectory() as name:
                 told = environment(Path(name), disk_mb, in_order)
-                filled.append(fill(Path(told["RELAY_STATE"]), disk_mb * 1_000_000, seed) if full else Filled(0, 0))
+                filled.append(
+                    fill(Path(told["RELAY_STATE"]), disk_mb * 1_000_000, seed, cleaned) if full else Filled(0, 0)
+                )
                 starts.append(start(command, told))
         live, size = [one.live for one in filled], [one.size / 1e6 for one in filled]
         print(
-            f"{title:<16}{'':>8}{spread([one.cpu for one in starts])}{max(one.threads for one in starts):>9}{'':>4}"
+            f"{title:<20}{'':>8}{spread([one.cpu for one in starts])}{max(one.threads for one in starts):>9}{'':>4}"
             f"{spread([one.memory for one in starts])}  {min(live)}-{max(live)}, {min(size):.1f}-{max(size):.1f}"
         )
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -285,9 +285,9 @@
 
     def step_after_failure(self) -> int:
         """The longest gap after a call that was not taken up: the next one comes in time for what discovery
-        could tell meanwhile, as that counts as told. Only where a second call in a row has waited out its
-        time is discovery taken to be asked by more than it can answer, and gaps double: a call that it turns away,
-        or that it leaves without a word, costs it nothing."""
+        could tell meanwhile, as that counts as told. Only where a second call in a row waited out its time
+        is it taken to be asked by more than it can answer, and gaps double: one that it turns away, or that
+        it leaves without a word, costs it nothing."""
         self.waited_out += ASK_TIME <= self.now - self.asked_at < ASK_TIME + SECOND // 2
         if self.waited_out > 1:
             return self.no_later(4, ASK_AGAIN << min(self.waited_out - 1, 4))
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -75,7 +75,7 @@
 def test_a_start_with_the_fullest_journal_takes_up_all_with_one_thread(tmp_path: Path, in_order: bool) -> None:
     """The journal has no room for one more message, and its files are nearly as large as the disk."""
     settings = starts.environment(tmp_path, 1, in_order)
-    filled = starts.fill(Path(settings["RELAY_STATE"]), 1_000_000, seed=1)
+    filled = starts.fill(Path(settings["RELAY_STATE"]), 1_000_000, seed=1, cleaned=False)
     assert filled.live > 100 and filled.size > starts.NEARLY_FULL * 1_000_000
     command = starts.deployed("run").replace(".venv/bin/python", sys.executable)
     started = starts.start(command, settings)
