store/store.py in modules by concern: reading, segment_log, compaction, recovery

Change: four layers, each a class on the one before (SegmentLog, CompactedLog, RecoveredLog, Store), and reading.py for names and for folders read without a claim. Every method and function is the same to the letter, in another file; only __init__ is divided. Tests: imports alone, and two names of tests/store/mutations.py.

--- a/garnetrelay/cli/journal.py
+++ b/garnetrelay/cli/journal.py
@@ -11,8 +11,8 @@
 from garnetrelay.store import format as fmt
 from garnetrelay.store import legacy
 from garnetrelay.store.format import Kind, LaterVersionError
+from garnetrelay.store.reading import load, number_in, seen
 from garnetrelay.store.storage import Folder, blocks
-from garnetrelay.store.store import load, number_in, seen
 
 FOLDER = click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
 
--- a/garnetrelay/handover/receiver.py
+++ b/garnetrelay/handover/receiver.py
@@ -16,8 +16,8 @@
 from garnetrelay.handover import protocol as p
 from garnetrelay.handover.channel import FRAME_TIME, Channel, ChannelError, Door
 from garnetrelay.store.ahead import Ahead, read_ahead
+from garnetrelay.store.reading import number_in
 from garnetrelay.store.storage import Folder
-from garnetrelay.store.store import number_in
 
 log = logging.getLogger(__name__)
 
--- a/garnetrelay/store/durability.py
+++ b/garnetrelay/store/durability.py
@@ -10,7 +10,8 @@
 import logging
 from concurrent.futures import ThreadPoolExecutor
 
-from garnetrelay.store.store import Store, Sync
+from garnetrelay.store.segment_log import Sync
+from garnetrelay.store.store import Store
 
 log = logging.getLogger(__name__)
 
--- a/tests/store/mutations.py
+++ b/tests/store/mutations.py
@@ -10,7 +10,7 @@
 
 from garnetrelay.store import format as fmt
 from garnetrelay.store import index as ix
-from garnetrelay.store import store
+from garnetrelay.store import reading, segment_log, store
 from tests.store import explore
 
 Plant = Callable[[], tuple[Any, str, Any]]
@@ -47,7 +47,7 @@
 def removed_before_written(clean: Any) -> Any:
     def wrong(self: Any, number: int, *more: Any) -> None:
         segment = self.index.segments[number]
-        self.storage.remove(store.name_of(number))
+        self.storage.remove(reading.name_of(number))
         clean(self, number, *more)
         if number in self.index.segments and not segment.entries and not segment.tombs:
             self.index.removed(number)
@@ -161,8 +161,8 @@
     ),
     "torn tail sealed as whole": lambda: in_place(store.Store, "_seal_torn", goes_on_in_the_torn_segment),
     "machine: promised before the sync": lambda: in_place(store.Store, "on_record", synced_at_once),
-    "machine: names not synced": lambda: in_place(store.Sync, "run", names_not_synced),
-    "machine: active segment not synced": lambda: in_place(store.Sync, "run", active_not_synced),
+    "machine: names not synced": lambda: in_place(segment_log.Sync, "run", names_not_synced),
+    "machine: active segment not synced": lambda: in_place(segment_log.Sync, "run", active_not_synced),
     "machine: failed sync taken for good": lambda: in_place(store.Store, "end_sync", failed_sync_taken_for_good),
 }
 
--- a/tests/store/test_ahead.py
+++ b/tests/store/test_ahead.py
@@ -10,8 +10,9 @@
 
 from garnetrelay.store import ahead as reading
 from garnetrelay.store.format import Entry
+from garnetrelay.store.reading import number_in
 from garnetrelay.store.storage import Folder
-from garnetrelay.store.store import Store, number_in
+from garnetrelay.store.store import Store
 
 DISK = 60_000  # small: segments are cleaned all the time
 
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -17,8 +17,9 @@
 from garnetrelay.cli.commands import command
 from garnetrelay.store import format as fmt
 from garnetrelay.store.format import Entry
+from garnetrelay.store.reading import load, name_of
 from garnetrelay.store.storage import FolderTakenError
-from garnetrelay.store.store import Store, StoreError, load, name_of
+from garnetrelay.store.store import Store, StoreError
 from tests.store import explore, mutations
 from tests.store.simulated import Disk, Stopped
 
--- a/tests/store/test_store_in_relay.py
+++ b/tests/store/test_store_in_relay.py
@@ -11,9 +11,9 @@
 import pytest
 
 from garnetrelay.config.deployment import ConfigError, load
+from garnetrelay.store.reading import load as load_folder
+from garnetrelay.store.segment_log import Sync
 from garnetrelay.store.storage import Folder
-from garnetrelay.store.store import Sync
-from garnetrelay.store.store import load as load_folder
 from tests.sockets import Field, until
 
 
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -6,8 +6,8 @@
 
 from garnetrelay.ownership import Ownership
 from garnetrelay.store import format as fmt
+from garnetrelay.store.reading import seen
 from garnetrelay.store.storage import Folder
-from garnetrelay.store.store import seen
 from tests.sockets import Field, until
 
 DESTINATION = 3  # of all messages here
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -17,8 +17,9 @@
 
 from garnetrelay.rehearsal.scripted_peers import PATIENCE, ScriptedHost, ScriptedPlatform
 from garnetrelay.store.format import Entry
+from garnetrelay.store.reading import load
 from garnetrelay.store.storage import Folder
-from garnetrelay.store.store import Store, load
+from garnetrelay.store.store import Store
 from tests.sockets import Client, Field, endpoint, listing, until
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -12,8 +12,8 @@
 from garnetrelay.fronts.resp import server as clients
 from garnetrelay.membership import register as discovery
 from garnetrelay.rehearsal.scripted_peers import ScriptedHost
+from garnetrelay.store.reading import load
 from garnetrelay.store.storage import Folder
-from garnetrelay.store.store import load
 from starlingwick import interface as io
 from tests.sockets import Client, Field, endpoint, listing, until
 
