store's mutations: the scan that stops at damage is a scan again

Cause: the planted scan did not take a place to begin at, so every run ended in a TypeError of its own and counted as noticed.

Change: it takes one, as the function that it stands for. A check made stricter.

--- a/tests/store/mutations.py
+++ b/tests/store/mutations.py
@@ -34,8 +34,8 @@
 
 
 def scan_stops_at_damage(scan: Any) -> Any:
-    def wrong(data: bytes) -> Iterator[Any]:
-        for found in scan(data):
+    def wrong(data: bytes, at: int = fmt.HEADER.size) -> Iterator[Any]:
+        for found in scan(data, at):
             if isinstance(found, tuple):
                 yield found[0], len(data)
                 return
