--- /dev/null
+++ b/garnetrelay/recovery.py
@@ -0,0 +1,158 @@
+"""The start of a relay: what an earlier life or the process before left is taken up.
+
+Owned here: in which order messages come back to the Pacer, and what may be said of an attempt whose outcome nobody
+recorded. Guards against newcomers that pass ahead of an order, and against a loop that is busy for as long as a long
+journal takes: messages come in slices while clients are answered.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from abc import ABC, abstractmethod
+from collections import deque
+from typing import TYPE_CHECKING
+
+from garnetrelay.config.deployment import Address, Config
+from garnetrelay.membership.register import Discovery, News, Reader
+from garnetrelay.pending import PendingMessage
+from garnetrelay.recovery_stats import RecoveryStats
+from garnetrelay.store.format import Entry
+from garnetrelay.store.store import Store
+from starlingwick import interface as io
+from starlingwick.control import Pacer
+
+if TYPE_CHECKING:
+    from garnetrelay.handover.protocol import State
+    from garnetrelay.handover.receiver import Inheritance
+
+log = logging.getLogger(__name__)
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+SLICE = 1000  # messages picked up in a round of the loop: some ten milliseconds
+
+
+class Recovery(ABC):
+    """The part of a relay that starts it. ``Relay`` owns what is declared here, and says what is abstract."""
+
+    config: Config
+    settings: io.Settings
+    pacer: Pacer
+    journal: Store
+    reader: Reader
+    discovery: Discovery
+    inheritance: Inheritance | None  # from the process before; None behind the start, and where there was none
+    class_numbers: dict[str, int]  # by a class's name
+    gone: dict[str, None]  # hosts that were listed, the latest last
+    held: dict[str, PendingMessage]  # by ref
+    recovering: deque[Entry]  # picked up, and not yet with the Pacer
+    recovery_stats: RecoveryStats
+    ends: list[tuple[str, str, int]]  # of this turn: what the platform is told of each
+    inbox: list[io.Event]
+    closed: bool
+
+    @abstractmethod
+    def post(self, event: io.Event) -> None:
+        """Let the next turn take up an event."""
+
+    @abstractmethod
+    def turn(self) -> None:
+        """Decide on all that has come."""
+
+    @abstractmethod
+    def _place(self, news: News) -> None:
+        """Where each host listens now."""
+
+    @abstractmethod
+    def _end(self, ref: str, result: str, wait_ms: int) -> None:
+        """End a message with a result that the platform is told."""
+
+    def _read_known(self) -> None:
+        try:
+            news = self.reader.read(self.config.known)
+        except ValueError as error:
+            log.warning("the list in the configuration can't be read, starting without one: %s", error)
+            return
+        self.discovery.index = news.index
+        self._place(news)
+        self.inbox.append(io.Roster(io.ListScope.CACHED, news.entries))
+
+    def _inherit(self, state: State) -> None:
+        """The list as the process before had it, and what it knew."""
+        from starlingwick.memory import restore
+
+        entries, addresses = [], {}
+        for e in state.endpoints:
+            entries.append(io.HostEntry(e.name, e.zone, e.kind, e.dest, io.Availability(e.availability), e.rate))
+            addresses[e.name] = Address(e.host, e.port)
+        self.gone = dict.fromkeys(state.gone)
+        self.discovery.index = state.index
+        news = News(state.index, True, tuple(entries), addresses)
+        self._place(news)
+        self.inbox.append(io.Roster(io.ListScope.CACHED, news.entries))
+        self.turn()
+        restore(self.pacer, state.memory)
+
+    def _recover(self) -> None:
+        """Pick up what an earlier life left. Messages that keep an order come before any newcomer of theirs, and calls
+        that are out before any other; the rest goes to the Pacer in slices, soonest deadline first, while clients are
+        answered."""
+        passed = {} if self.inheritance is None else self.inheritance.calls
+        first: list[Entry] = []
+        rest: list[Entry] = []
+        for entry in list(self.journal.entries.values()):
+            if entry.ended is not None:
+                self.ends.append((entry.ref, entry.ended, entry.wait_ms))
+            elif entry.klass not in self.class_numbers:
+                log.error("journal: message %s has the unknown class %s", entry.ref, entry.klass)
+                self._end(entry.ref, "dead", 0)
+            elif entry.ref in passed or self.settings.classes[self.class_numbers[entry.klass]].in_turn:
+                first.append(entry)
+            else:
+                rest.append(entry)
+        rest.sort(key=lambda entry: entry.deadline)
+        if self.journal.entries:
+            log.info("picked up %d messages and %d notices", len(first) + len(rest), len(self.ends))
+        self.recovering.extend(rest)
+        self._take_up(first)
+
+    def _recover_slice(self) -> None:
+        """So many at once, and the others in later rounds of the loop."""
+        if self.closed:
+            return
+        self._take_up([self.recovering.popleft() for _ in range(min(SLICE, len(self.recovering)))])
+        if self.recovering:
+            asyncio.get_running_loop().call_soon(self._recover_slice)
+
+    def _take_up(self, entries: list[Entry]) -> None:
+        now_ms = time.time_ns() // MS
+        for entry in entries:
+            if not entry.attempts:
+                self.recovery_stats.find(entry.ref)
+            ends_at = time.monotonic_ns() + (entry.deadline - now_ms) * MS
+            self.held[entry.ref] = PendingMessage(entry.ref, entry.klass, entry.key, entry.body, ends_at, entry.attempts)
+            self.post(self._recovered(entry, now_ms))
+
+    def _recovered(self, entry: Entry, now_ms: int) -> io.Recovered:
+        passed = None if self.inheritance is None else self.inheritance.calls.get(entry.ref)
+        out = None if passed is None else passed[0]  # its attempt is out still
+        if out is None and entry.ran_at is None and entry.trying_at is not None:  # no outcome came: it may have run
+            entry.ran_at, entry.ran_zone = entry.trying_at, entry.trying_zone
+        ran_ago = None if entry.ran_at is None else max(0, now_ms - entry.ran_at) * MS
+        if entry.uncertain:  # an attempt may be missing: no window and no building is sure
+            ran_ago = 365 * 86400 * SECOND
+        zones = self.config.zone_names
+        return io.Recovered(
+            call=entry.ref,
+            klass=self.class_numbers[entry.klass],
+            dest=entry.dest,
+            key=entry.key,
+            patience=(entry.deadline - now_ms) * MS,
+            attempts=entry.attempts,
+            ran_ago=ran_ago,
+            ran_zone=zones.index(entry.ran_zone) if entry.ran_zone in zones else -1 if out is None else out.zone,
+            host=None if out is None else out.name,
+            sent_at=0 if out is None else out.started,
+        )
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -25,7 +25,9 @@
 from garnetrelay.membership.register import Discovery, News, Reader
 from garnetrelay.pending import PendingMessage
 from garnetrelay.platform.notices import Notices
+from garnetrelay.recovery import Recovery
 from garnetrelay.recovery_stats import RecoveryStats
+from garnetrelay.shutdown import Shutdown
 from garnetrelay.socket_poll import POLL_AFTER, after_socket_poll
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
@@ -34,7 +36,6 @@
 
 if TYPE_CHECKING:
     from garnetrelay.fleet.service import Fleet
-    from garnetrelay.handover.protocol import State
     from garnetrelay.handover.receiver import Inheritance, PredecessorLink
     from garnetrelay.handover.sender import HandoverSender
     from garnetrelay.operators.service import Operators
@@ -46,16 +47,11 @@
 
 MS = 1_000_000
 SECOND = 1_000_000_000
-STOP_AFTER = 3 * SECOND  # from SIGTERM to our end: SIGKILL comes no sooner than after 3.7 s
 TEND_PAUSE = 0.005  # seconds between two steps of compaction while no turn comes
 BROKEN_PAUSE = 0.25  # seconds until a folder that takes no records is tried again
-SLICE = 1000  # messages picked up in a round of the loop: some ten milliseconds
 MOST_GONE = 4096  # hosts that have left the list and are still known by name
 UNSURE = 2 * SECOND // 5  # between a request's sending and our reading it, at most: its client waits so long for a word
 NEAR_END = SECOND // 10  # before a message's time: an end that is due by the clock comes no earlier
-DRAIN_AFTER = 0.6  # seconds after SIGTERM: new connections come for up to 0.4 s
-LAST_TURN = SECOND // 4  # before our end: nothing is read from then on, and clients read what they are answered
-LAST_RECORD = SECOND // 2  # behind STOP_AFTER, for records that answers wait for: still ahead of SIGKILL
 
 
 @dataclass(slots=True)
@@ -152,7 +148,7 @@
         )
 
 
-class Relay:
+class Relay(Recovery, Shutdown):
     """One relay, from its start to its end."""
 
     def __init__(self, config: Config, inheritance: Inheritance | None = None, ahead: Ahead | None = None) -> None:
@@ -290,57 +286,6 @@
         self.discovery.move(config.discovery)
         self.notices.move(config.discovery)
 
-    def stop(self) -> None:
-        """SIGTERM: serve on while new connections come, then end calls, then ourselves."""
-        if self.closed:  # the relay has passed to a new process
-            self.finished.set()
-        if self.stopping or self.closed:
-            return
-        self.stopping = True
-        if self.predecessor is not None:
-            self.predecessor.bye()
-        log.info("stopping: %d messages held", len(self.held))
-        at = time.monotonic_ns() + STOP_AFTER
-        self.post(io.Stopping(at))
-        loop = asyncio.get_running_loop()
-        loop.call_later(DRAIN_AFTER, self._drain)
-        loop.call_at((at - LAST_TURN) / SECOND, self._last_turn)
-        loop.call_at(at / SECOND, self._time_is_up)
-
-    def _last_turn(self) -> None:
-        """What has been read is answered, and nothing more is read: a request that we read and leave without an answer
-        is lost, one that lies unread its client hands in again."""
-        if not self.closed:
-            self.server.end()
-            self.turn()
-
-    def _time_is_up(self) -> None:
-        """The end, once all that was promised is on record."""
-        self.time_is_up = True
-        if self.unreleased and not self.closed:
-            asyncio.get_running_loop().call_later(LAST_RECORD / SECOND, self.finished.set)
-        else:
-            self.finished.set()
-
-    def _drain(self) -> None:
-        self.server.drain()
-        self._end_if_idle()
-
-    def _end_if_idle(self) -> None:
-        """The end, unless anything is held, owed, on its way, or may yet come on a connection that is open."""
-        if self.server.draining and not (
-            self.held
-            or self.recovering
-            or self.notices.queue
-            or self.unreleased
-            or self.turn_due
-            or self.inbox
-            or self.newcomers
-            or self.server.connections
-            or self.server.listening
-        ):
-            self.finished.set()
-
     def retire(self) -> None:
         """Decide and tell nothing any more: the relay passes to a new process."""
         self.closed = True
@@ -400,32 +345,6 @@
 
     # ---- the start
 
-    def _read_known(self) -> None:
-        try:
-            news = self.reader.read(self.config.known)
-        except ValueError as error:
-            log.warning("the list in the configuration can't be read, starting without one: %s", error)
-            return
-        self.discovery.index = news.index
-        self._place(news)
-        self.inbox.append(io.Roster(io.ListScope.CACHED, news.entries))
-
-    def _inherit(self, state: State) -> None:
-        """The list as the process before had it, and what it knew."""
-        from starlingwick.memory import restore
-
-        entries, addresses = [], {}
-        for e in state.endpoints:
-            entries.append(io.HostEntry(e.name, e.zone, e.kind, e.dest, io.Availability(e.availability), e.rate))
-            addresses[e.name] = Address(e.host, e.port)
-        self.gone = dict.fromkeys(state.gone)
-        self.discovery.index = state.index
-        news = News(state.index, True, tuple(entries), addresses)
-        self._place(news)
-        self.inbox.append(io.Roster(io.ListScope.CACHED, news.entries))
-        self.turn()
-        restore(self.pacer, state.memory)
-
     async def _adopt(self, inheritance: Inheritance) -> tuple[str, int]:
         """Connections and the listener, as the process before left them."""
         for call, found in inheritance.calls.values():
@@ -453,68 +372,6 @@
             return str(refused)
         return ""
 
-    def _recover(self) -> None:
-        """Pick up what an earlier life left. Messages that keep an order come before any newcomer of theirs, and calls
-        that are out before any other; the rest goes to the Pacer in slices, soonest deadline first, while clients are
-        answered."""
-        passed = {} if self.inheritance is None else self.inheritance.calls
-        first: list[Entry] = []
-        rest: list[Entry] = []
-        for entry in list(self.journal.entries.values()):
-            if entry.ended is not None:
-                self.ends.append((entry.ref, entry.ended, entry.wait_ms))
-            elif entry.klass not in self.class_numbers:
-                log.error("journal: message %s has the unknown class %s", entry.ref, entry.klass)
-                self._end(entry.ref, "dead", 0)
-            elif entry.ref in passed or self.settings.classes[self.class_numbers[entry.klass]].in_turn:
-                first.append(entry)
-            else:
-                rest.append(entry)
-        rest.sort(key=lambda entry: entry.deadline)
-        if self.journal.entries:
-            log.info("picked up %d messages and %d notices", len(first) + len(rest), len(self.ends))
-        self.recovering.extend(rest)
-        self._take_up(first)
-
-    def _recover_slice(self) -> None:
-        """So many at once, and the others in later rounds of the loop."""
-        if self.closed:
-            return
-        self._take_up([self.recovering.popleft() for _ in range(min(SLICE, len(self.recovering)))])
-        if self.recovering:
-            asyncio.get_running_loop().call_soon(self._recover_slice)
-
-    def _take_up(self, entries: list[Entry]) -> None:
-        now_ms = time.time_ns() // MS
-        for entry in entries:
-            if not entry.attempts:
-                self.recovery_stats.find(entry.ref)
-            ends_at = time.monotonic_ns() + (entry.deadline - now_ms) * MS
-            self.held[entry.ref] = PendingMessage(entry.ref, entry.klass, entry.key, entry.body, ends_at, entry.attempts)
-            self.post(self._recovered(entry, now_ms))
-
-    def _recovered(self, entry: Entry, now_ms: int) -> io.Recovered:
-        passed = None if self.inheritance is None else self.inheritance.calls.get(entry.ref)
-        out = None if passed is None else passed[0]  # its attempt is out still
-        if out is None and entry.ran_at is None and entry.trying_at is not None:  # no outcome came: it may have run
-            entry.ran_at, entry.ran_zone = entry.trying_at, entry.trying_zone
-        ran_ago = None if entry.ran_at is None else max(0, now_ms - entry.ran_at) * MS
-        if entry.uncertain:  # an attempt may be missing: no window and no building is sure
-            ran_ago = 365 * 86400 * SECOND
-        zones = self.config.zone_names
-        return io.Recovered(
-            call=entry.ref,
-            klass=self.class_numbers[entry.klass],
-            dest=entry.dest,
-            key=entry.key,
-            patience=(entry.deadline - now_ms) * MS,
-            attempts=entry.attempts,
-            ran_ago=ran_ago,
-            ran_zone=zones.index(entry.ran_zone) if entry.ran_zone in zones else -1 if out is None else out.zone,
-            host=None if out is None else out.name,
-            sent_at=0 if out is None else out.started,
-        )
-
     # ---- events in
 
     def on_request(self, request: Request, reply: Reply) -> None:
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -7,6 +7,8 @@
 
 import ast
 import functools
+import itertools
+import re
 from collections.abc import Iterator, Mapping
 from pathlib import Path
 from typing import NamedTuple
@@ -38,6 +40,7 @@
     ("garnetrelay.handover",),
     ("garnetrelay.operators",),
     ("garnetrelay.fleet",),
+    ("garnetrelay.recovery", "garnetrelay.shutdown"),
     ("garnetrelay.relay", "garnetrelay.laboratory", "starlingwick.wirehost"),
     ("garnetrelay.daemon",),
     ("garnetrelay.__main__", "garnetrelay.rehearsal"),
@@ -232,14 +235,25 @@
     assert circles(sources()) == []
 
 
-def test_the_page_names_every_part_and_every_part_exists() -> None:
+def layers_of(page: str) -> list[set[str]]:
+    """The layers as the page has them, from the bottom up, by the modules' dotted names."""
+    table = page.partition("| layer, from the top | parts |")[2].partition("\n\n")[0]
+    rows = [re.findall(r"`([\w/]+)`", line) for line in table.splitlines()[2:]]
+    return [
+        {row if row.startswith("starlingwick") else f"garnetrelay/{row}" for row in cells} for cells in reversed(rows)
+    ]
+
+
+def test_the_page_has_the_same_layers() -> None:
     page = (ROOT / "docs/ARCHITECTURE.md").read_text()
+    expected = [{part.replace(".", "/") for part in layer} - {"garnetrelay"} for layer in LAYERS]
+    assert layers_of(page) == expected
+
+
+def test_every_part_that_a_rule_names_exists() -> None:
     modules = sources()
-    for part in (part for layer in LAYERS for part in layer if part != "garnetrelay"):
-        assert f"`{part.replace('.', '/').removeprefix('garnetrelay/')}" in page, f"docs/ARCHITECTURE.md lacks {part}"
-        assert any(under(module, (part,)) for module in modules), f"LAYERS has {part}, which is gone"
-    for module in (*DECISIONS, *PROGRAMS, *OPTIONAL, *TOOL_PARTS):
-        assert any(under(name, (module,)) for name in modules), f"a rule names {module}, which is gone"
+    for part in (*itertools.chain(*LAYERS), *DECISIONS, *PROGRAMS, *OPTIONAL, *TOOL_PARTS):
+        assert any(under(name, (part,)) for name in modules), f"a rule names {part}, which is gone"
 
 
 # Planted faults: a module's text that breaks one rule, and what is said of it.
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -14,6 +14,7 @@
 import pytest
 
 from garnetrelay import relay as relay_module
+from garnetrelay import shutdown
 from garnetrelay.config.deployment import Address
 from garnetrelay.delivery.http import hosts
 from garnetrelay.delivery.http.answers import Outcome
@@ -409,7 +410,7 @@
     monkeypatch.setattr(relay, "_turn_soon", lambda: None)  # no turn comes in time
     client.writer.write(enqueue("m1"))
     await until(lambda: bool(relay.newcomers))
-    monkeypatch.setattr(relay_module, "STOP_AFTER", 0)
+    monkeypatch.setattr(shutdown, "STOP_AFTER", 0)
     relay.stop()
     await asyncio.wait_for(relay.finished.wait(), PATIENCE)
     relay.close()
@@ -435,7 +436,7 @@
         handler(request, reply)
 
     monkeypatch.setattr(relay.server, "handler", asking)
-    monkeypatch.setattr(relay_module, "STOP_AFTER", 0)
+    monkeypatch.setattr(shutdown, "STOP_AFTER", 0)
     relay.stop()
     await asyncio.wait_for(relay.finished.wait(), PATIENCE)
     relay.close()
@@ -484,7 +485,7 @@
     monkeypatch.setattr(relay.journal, "on_record", later.append)
     client.writer.write(enqueue("m1"))
     await until(lambda: bool(later))
-    monkeypatch.setattr(relay_module, "STOP_AFTER", 0)
+    monkeypatch.setattr(shutdown, "STOP_AFTER", 0)
     relay.stop()
     for _ in range(20):
         await asyncio.sleep(0)
