--- a/benchmarks/floor.py
+++ b/benchmarks/floor.py
@@ -26,9 +26,11 @@
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the loop: calls may be written."""
         self.transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
+        """Take any answer for a whole one: the connection may carry the next call."""
         self.idle.append(self)
 
 
@@ -43,9 +45,11 @@
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the loop: answers may be written."""
         self.transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
+        """Answer each ENQUEUE with +OK and pass its body on as one POST, with nothing on record."""
         assert self.transport is not None
         self.reader.feed(data)
         while (words := self.reader.gets()) is not False:
@@ -75,6 +79,7 @@
 
 
 async def main() -> None:
+    """Serve until ended; ports come as two arguments, or from the relay's own configuration."""
     idle: list[Sink] = []
     if len(sys.argv) > 2:
         port, sink = int(sys.argv[1]), int(sys.argv[2])
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -76,9 +76,11 @@
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the loop: answers may be written."""
         self.transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
+        """Answer a whole request with 200, and say which message has come."""
         self.data += data
         head, end, body = self.data.partition(b"\r\n\r\n")
         if not end or len(body) < int(head.partition(b"Content-Length: ")[2].partition(b"\r\n")[0]):
@@ -97,9 +99,11 @@
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the loop: the list and answers may be written."""
         self.transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
+        """Answer a watch with the whole list, which then stays open, and a notice with 204."""
         assert self.transport is not None
         if data.startswith(b"GET "):
             self.transport.write(
@@ -128,10 +132,12 @@
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the loop: the first message goes out."""
         self.transport = cast(asyncio.Transport, transport)
         self._go_on()
 
     def data_received(self, data: bytes) -> None:
+        """Count each answer as one of a message's two steps; RuntimeError for any but OK."""
         self.reader.feed(data)
         while (answer := self.reader.gets()) is not False:
             if answer != "OK" and answer != b"OK":
@@ -139,6 +145,7 @@
             self.step()
 
     def step(self) -> None:
+        """One of two: the answer, and the delivery. Behind both the next message goes out."""
         self.open -= 1
         if not self.open:
             self._go_on()
@@ -164,6 +171,7 @@
         self.finished = asyncio.Event()
 
     def delivered(self, ref: bytes) -> None:
+        """A message has come out at the other side: its client's next step."""
         self.clients[int(ref.partition(b"-")[0])].step()
 
     def _next(self, number: int) -> bytes | None:
@@ -267,6 +275,7 @@
 
 
 def free_port() -> int:
+    """A port of this machine that nothing listens on just now."""
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
         return int(free.getsockname()[1])
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -33,6 +33,7 @@
     classes: tuple[tuple[io.Repeat, float, float, float, float], ...]  # aim, deadline (s), worth, late worth
 
     def settings(self) -> io.Settings:
+        """The Pacer's settings for this customer."""
         return io.Settings(
             relays=self.relays,
             slots=self.slots,
@@ -97,6 +98,7 @@
     """As it decided before such messages were owed a try."""
 
     def owes_try(self, r: io.Recovered) -> bool:
+        """Nothing is owed a try, as before the mend."""
         return False
 
 
@@ -180,6 +182,7 @@
 
 
 def total(customer: Customer, case: str, seeds: int, owed: bool) -> Result:
+    """All seeds of one case, added up; ``owed``: by the Pacer as it is, else as it was."""
     whole = Result()
     for seed in range(seeds):
         one = play(customer, case, seed, Pacer if owed else Before)
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -26,6 +26,7 @@
 
 @contextmanager
 def folder() -> Iterator[Path]:
+    """A folder for a run, removed behind it."""
     path = Path(tempfile.mkdtemp(prefix="store-"))
     try:
         yield path
@@ -43,9 +44,11 @@
         self.entry: Any = Entry
 
     def tend(self) -> None:
+        """A step of compaction."""
         self.journal.tend()
 
     def used(self, path: Path) -> int:
+        """Bytes of all files, in whole blocks."""
         return int(self.journal.used)
 
 
@@ -59,13 +62,15 @@
         self.entry: Any = module.Entry
 
     def tend(self) -> None:
-        pass
+        """Nothing: this version compacts by itself."""
 
     def used(self, path: Path) -> int:
+        """Bytes of the one file."""
         return (path / "journal").stat().st_size
 
 
 def load_old(file: Path) -> ModuleType:
+    """The module of an earlier version, from a file; an OSError where there is none."""
     spec = importlib.util.spec_from_file_location("old_journal", file)
     assert spec is not None and spec.loader is not None
     module = importlib.util.module_from_spec(spec)
@@ -75,6 +80,7 @@
 
 
 def percentile(values: list[float], share: float) -> float:
+    """The value under which so much of all lies (``share`` from 0 to 1)."""
     return sorted(values)[min(len(values) - 1, int(share * len(values)))]
 
 
@@ -141,6 +147,7 @@
 
 
 def resident() -> int:
+    """The memory that this process has (bytes)."""
     return int(Path("/proc/self/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
 
--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -13,6 +13,8 @@
 
 
 def settings(slots: int, held: int) -> io.Settings:
+    """Settings for one relay with so many slots, which may hold so many messages."""
+
     def klass(repeat: io.Repeat, aim: int, deadline: int, worth: float, late: float) -> io.MessageClass:
         return io.MessageClass(aim * SECOND, deadline * SECOND, worth, late, repeat, io.Scope.ZONE, 12 * SECOND, False)
 
@@ -52,6 +54,7 @@
         self.turn(io.Roster(io.ListScope.WHOLE, entries))
 
     def turn(self, *events: io.Event) -> list[io.Action]:
+        """Hand events to the Pacer, 0.1 ms behind the last; what it does."""
         self.now += 100_000
         actions = self.pacer.handle(self.now, events)
         for action in actions:
@@ -60,10 +63,12 @@
         return actions
 
     def message(self, dest: int, klass: int = 0) -> io.Arrived:
+        """A new message's arrival."""
         self.count += 1
         return io.Arrived(f"m{self.count}", 0, klass, dest, f"k{self.count}", 27 * SECOND)
 
     def answer(self, send: io.Send, status: io.Status = io.Status.OK, wait: int = 0) -> io.Verdict:
+        """An answer to a call, after 20 ms; ``wait`` in nanoseconds."""
         return io.Verdict(
             send.call, self.attempts[send.call], send.host, status, 20_000_000, status is io.Status.OK, wait, False, None
         )
@@ -74,11 +79,13 @@
             self.turn(self.answer(send, io.Status.FULL, wait))
 
     def hold(self, dest: int, many: int) -> None:
+        """Hand in so many messages, 500 a turn."""
         for start in range(0, many, 500):
             self.turn(*[self.message(dest, 2 * (n % 2)) for n in range(min(500, many - start))])
 
 
 def sends(actions: list[io.Action]) -> list[io.Send]:
+    """The calls among what the Pacer does."""
     return [action for action in actions if isinstance(action, io.Send)]
 
 
--- a/benchmarks/watches.py
+++ b/benchmarks/watches.py
@@ -71,6 +71,7 @@
 
 
 async def all_of(seeds: int) -> None:
+    """Print the table: both ways to hear of changes, 5 relays and 200."""
     print("mode        relays   seconds from the last line to the next watch: least, most")
     for mode in ("subscribe", "automatic"):
         for relays in (5, 200):
