--- a/garnetrelay/cli/check_config.py
+++ b/garnetrelay/cli/check_config.py
@@ -38,3 +38,9 @@
             f"{options}: a fleet's member at {fleet.advertise or fleet.listen}, {len(fleet.seeds)} seeds, a "
             f"probe in {fleet.settings.probe_every / 1e9:g} s, {len(fleet.secrets())} secrets"
         )
+        if fleet.leases is not None:
+            leases = fleet.leases.settings
+            click.echo(
+                f"{options}: {leases.controllers} controllers, {leases.partitions} partitions, a lease of "
+                f"{leases.lease / 1e9:g} s, renewed in {leases.renew_every / 1e9:g} s"
+            )
--- a/tests/fleet/leases/test_lease_codec.py
+++ b/tests/fleet/leases/test_lease_codec.py
@@ -15,7 +15,6 @@
 from garnetrelay.fleet.leases.messages import (
     MOST_EPOCH,
     MOST_GRANTS,
-    MOST_PARTITIONS,
     MOST_RECORDS,
     RECORDS_SIZE,
     Acquire,
@@ -32,6 +31,7 @@
 )
 from garnetrelay.fleet.members import frames as fr
 from garnetrelay.fleet.members.claims import MOST_NAME
+from garnetrelay.fleet.partitions.hashing import MOST_PARTITIONS
 from garnetrelay.fleet.signing import HEAD, Refused
 
 SECRET, OTHER = b"the secret of the tests", b"a secret of somebody else"
