--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -13,7 +13,8 @@
 
 from garnetrelay.fleet.leases.controller import Controller
 from garnetrelay.fleet.leases.holder import Holder
-from garnetrelay.fleet.leases.messages import Answer, HolderEffect
+from garnetrelay.fleet.leases.messages import Answer, Grant, HolderEffect, Refusal, Session
+from garnetrelay.fleet.leases.register import Register
 from garnetrelay.fleet.leases.settings import SECOND, Settings
 from garnetrelay.fleet.partitions.assignment import Assignment
 from garnetrelay.fleet.partitions.hashing import partition_of
@@ -57,6 +58,29 @@
         return super().receive(now, answer)
 
 
+class EqualEpochs(Register):
+    """Planted: an epoch that another had is granted again."""
+
+    def refusal(self, now: int, grant: Grant, session: Session) -> Refusal | None:
+        return super().refusal(now, Grant(grant.partition, grant.epoch + 1), session)
+
+
+class GrantsEqualEpochs(Controller):
+    """Planted: an epoch that another had is granted again."""
+
+    def receive(self, now: int, message: object, source: str = "") -> list:  # type: ignore[type-arg]
+        self.register.__class__ = EqualEpochs
+        return super().receive(now, message, source)  # type: ignore[arg-type]
+
+
+class SmallQuorum(Settings):
+    """Planted: two of five are enough."""
+
+    @property
+    def quorum(self) -> int:
+        return 2
+
+
 class ForgetsLeases(Controller):
     """Planted: another session need not wait."""
 
@@ -71,6 +95,8 @@
     "no wait after a start": {"controller": NoWait},
     "counted from the answer": {"holder": CountsFromTheAnswer},
     "old answers count": {"holder": CountsOldAnswers},
+    "equal epochs": {"controller": GrantsEqualEpochs},
+    "two of five are enough": {"settings": SmallQuorum(partitions=16)},
     "leases of a second": {"controller": ForgetsLeases},
 }
 
--- a/tests/fleet/leases/test_world.py
+++ b/tests/fleet/leases/test_world.py
@@ -17,5 +17,6 @@
     assert outcome.changes > 0
 
 
-def test_a_planted_fault_is_found() -> None:
-    assert any(Play(seed, **PLANTED["leases of a second"]).run().problems for seed in range(20))
+@pytest.mark.parametrize("name", ["leases of a second", "equal epochs"])
+def test_a_planted_fault_is_found(name: str) -> None:
+    assert any(Play(seed, **PLANTED[name]).run().problems for seed in range(20))
