--- a/garnetrelay/fleet/members/holding.py
+++ b/garnetrelay/fleet/members/holding.py
@@ -193,12 +193,15 @@
 
     def _note_change(self, held: Claim | None, claim: Claim, change: Change) -> None:
         if change is Change.WORD and held is not None and not claim.final:
+            # Whatever word brings a change of address or zone, it is told: no other word will differ in it.
+            moved = (claim.place, claim.zone) != (held.place, held.zone)
+            where = f", now at {claim.place}, zone {claim.zone or 'not known'}" if moved else ""
             if claim.status is Status.SUSPECT and claim.by != self.name:
-                self._note(f"{claim.said()}")
+                self._note(f"{claim.said()}{where}")
             elif held.status is Status.SUSPECT:
-                self._note(f"{claim.said()}: it has spoken up, {held.by} had suspected it")
-            elif (claim.place, claim.zone) != (held.place, held.zone):
-                self._note(f"{claim.said()}, now at {claim.place}, zone {claim.zone or 'not known'}")
+                self._note(f"{claim.said()}: it has spoken up, {held.by} had suspected it{where}")
+            elif moved:
+                self._note(f"{claim.said()}{where}")
         elif claim.final:
             if claim.by != self.name:
                 self._note(f"{claim.said()}", logging.WARNING if claim.status is Status.FAILED else logging.INFO)
--- a/tests/fleet/test_schedules.py
+++ b/tests/fleet/test_schedules.py
@@ -16,6 +16,7 @@
 
 from garnetrelay.fleet.members.claims import Status
 from garnetrelay.fleet.members.condition import Condition
+from garnetrelay.fleet.members.effects import Note
 from garnetrelay.fleet.members.holding import Holding
 from garnetrelay.fleet.members.protocol import Members
 from garnetrelay.fleet.members.settings import SECOND, Settings
@@ -94,6 +95,28 @@
     return found
 
 
+@pytest.mark.parametrize("suspected", ["not at all", "before", "in the new word"])
+def test_a_change_of_zone_is_logged_whatever_word_brings_it(suspected: str) -> None:
+    """Suspected during an upgrade, its word that it is there was told, and the zone in it was not."""
+    world = gathered(3)
+    member = members(world, "n1")
+    held = member.table.members["n2"].claim
+    moved = msgspec.structs.replace(held, incarnation=held.incarnation + 1, zone=3)
+    again = msgspec.structs.replace(moved, incarnation=moved.incarnation + 1)
+    words = {
+        "not at all": [moved],
+        "before": [held.judged(Status.SUSPECT, "n3"), moved],
+        "in the new word": [
+            moved.judged(Status.SUSPECT, "n3"),
+            msgspec.structs.replace(moved, incarnation=moved.incarnation + 1),
+        ],
+    }
+    for word in words[suspected]:
+        member.holding.hear(world.now, word)
+    notes = [effect.text for effect in member._effects if isinstance(effect, Note)]
+    assert sum("zone 3" in note for note in notes) == 1
+
+
 def test_zones_are_known_to_all_and_leave_the_view_with_their_members() -> None:
     world = gathered(5, zones=lambda number: number % 3)
     expected = {"n1": 1, "n2": 2, "n3": 0, "n4": 1, "n5": 2}
