--- a/garnetrelay/laboratory/lease_faults.py
+++ b/garnetrelay/laboratory/lease_faults.py
@@ -76,7 +76,7 @@
             if self.world.wishes[number] != mine and self.world.relays[number].machine is not None:
                 self.world.at(
                     self.world.now + self.draw.randrange(SECOND),
-                    lambda number=number, mine=mine: self.world.wish(number, mine),  # type: ignore[misc]
+                    lambda number=number: self.world.wish(number, self.world.wishes[number]),  # type: ignore[misc]
                 )
             self.world.wishes[number] = frozenset(mine)
 
