--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -1,7 +1,8 @@
 """Drives the Pacer: what happens on the sockets becomes its events, its actions become calls and answers.
 
-The only file that talks to the Pacer. It keeps each held message's body and attempt, and writes to the
-journal before anything that must not be forgotten: an answer to a client, an attempt's first byte.
+The only file that talks to the Pacer, but for an attempt's last look (``attempt.py``). It keeps each held message's body
+and attempt, and writes to the journal before anything that must not be forgotten: an answer to a client, an attempt's
+first byte.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from garnetrelay.attempt import Attempt
 from garnetrelay.config.deployment import Address, Config
 from garnetrelay.counters import Counters
 from garnetrelay.delivery.http import hosts as net
@@ -33,7 +35,7 @@
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
 from starlingwick import interface as io
-from starlingwick.control import MAY_HAVE_RUN, Pacer
+from starlingwick.control import Pacer
 
 if TYPE_CHECKING:
     from garnetrelay.fleet.service import Fleet
@@ -51,7 +53,6 @@
 TEND_PAUSE = 0.005  # seconds between two steps of compaction while no turn comes
 BROKEN_PAUSE = 0.25  # seconds until a folder that takes no records is tried again
 MOST_GONE = 4096  # hosts that have left the list and are still known by name
-UNSURE = 2 * SECOND // 5  # between a request's sending and our reading it, at most: its client waits so long for a word
 NEAR_END = SECOND // 10  # before a message's time: an end that is due by the clock comes no earlier
 
 
@@ -65,90 +66,6 @@
     ends_at: int  # the same by the monotonic clock, nanoseconds
 
 
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One call with a message: what goes on record of it, and what the Pacer hears."""
-
-    relay: Relay
-    message: PendingMessage
-    host: str
-    number: int
-    started: int  # monotonic clock, as is the next
-    stop_at: int
-    written: bool = False  # it is on record
-    destination: int = -1  # where leases are on and this relay owns it
-    epoch: int | None = None  # the same: in which epoch, as it is on record
-
-    def exchange(self) -> net.Exchange:
-        """The exchange that carries this attempt out."""
-        exchange = net.Exchange(self.host, self.stop_at, self.prepare, self.done, self.still_clear, self.message.ref)
-        if self.relay.owners is not None:
-            exchange.at_first_byte = self.fence
-        return exchange
-
-    def prepare(self, address: Address) -> bytes | None:
-        """The last look and the record, then the request."""
-        if not self.still_clear():
-            return None
-        message, zones = self.message, self.relay.config.zone_names
-        name = zones[message.zone] if 0 <= message.zone < len(zones) else ""
-        if self.relay.owners is not None:
-            self.stamp(self.relay.owners)
-        self.written = self.relay.journal.trying(message.ref, name, time.time_ns() // MS, self.epoch)
-        if self.written and self.relay.recovery_stats.on_try(message.ref):
-            log.info("%s", self.relay.recovery_stats)
-        return net.call(address, message.ref, message.key, message.body, self.stop_at) if self.written else None
-
-    def still_clear(self) -> bool:
-        """The last look: whether the call may still begin, by its time and by the Pacer."""
-        now = time.monotonic_ns()
-        return now < self.stop_at and self.relay.pacer.clear_to_send(now, self.message.ref, self.host)
-
-    def stamp(self, owners: Owners) -> None:
-        """The epoch that goes on record."""
-        entry = self.relay.listed.get(self.host)
-        ownership = None if entry is None else owners.ownership(entry.dest)
-        if entry is not None and ownership is not None:
-            self.destination, self.epoch = entry.dest, ownership.epoch
-
-    def fence(self) -> None:
-        """The record took its time, or this process did not run: a lease that ended meanwhile is told. The call goes
-        out all the same, under this relay's own part of the limits: leases only report so far."""
-        if self.relay.owners is not None and self.epoch is not None:
-            self.relay.owners.still_owned(self.destination, self.epoch)
-
-    def done(self, outcome: Outcome) -> None:
-        """What became of it: on record, then with the Pacer."""
-        relay, message = self.relay, self.message
-        message.exchange = None
-        log.debug("attempt %s %d at %s: %s", message.ref, self.number, self.host, outcome)
-        # The loop reads sockets before it looks at timers: an answer may lie there behind its time.
-        # Nobody waits for that any more, and the client is still owed an end.
-        now = time.monotonic_ns()
-        finished = outcome.finished and now < message.ends_at
-        if finished:
-            # Its end settles the attempt too. The client counts from its sending: if the answer came behind its time but
-            # ahead of ours, the end is still owed. A notice for a message that is over does no harm.
-            relay.finish(message, None, 0, tell="dead" if now >= message.ends_at - UNSURE else None)
-        elif self.written:
-            relay.journal.outcome(message.ref, outcome.status in MAY_HAVE_RUN or outcome.status is io.Status.OK)
-        if message.over:
-            relay.held.pop(message.ref, None)
-        relay.post(
-            io.Verdict(
-                message.ref,
-                self.number,
-                self.host,
-                outcome.status,
-                time.monotonic_ns() - self.started,
-                finished,
-                outcome.wait,
-                outcome.no_slot,
-                outcome.report,
-            )
-        )
-
-
 class Relay(Recovery, Shutdown):
     """One relay, from its start to its end."""
 
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -40,7 +40,7 @@
     ("garnetrelay.handover",),
     ("garnetrelay.operators",),
     ("garnetrelay.fleet",),
-    ("garnetrelay.recovery", "garnetrelay.shutdown"),
+    ("garnetrelay.attempt", "garnetrelay.recovery", "garnetrelay.shutdown"),
     ("garnetrelay.relay", "garnetrelay.laboratory", "starlingwick.wirehost"),
     ("garnetrelay.daemon",),
     ("garnetrelay.__main__", "garnetrelay.rehearsal"),
