--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -706,6 +706,7 @@
     """SIGTERM came while it made ready, and the new process died with the relay in its hands: begun anew from the folder,
     it would serve on, with nothing that tells it to end."""
     field.operators = True
+    field.limits["memory_mb"] = 4096  # both sides are this process, which keeps what the tests before it left
     await field.start()
     relay = field.relays[0]
     assert relay.handover_sender is not None
