Members: probes, full exchanges and outgoing frames in modules of their own

Change: probing.py has the probe under way, exchanges.py when a full exchange begins and what is told in it, outgoing.py the frames with their sequence numbers and log lines, health.py Lifeguard's local health. The sequence is read at members.outgoing. The planted fault of test_scale.py replaces the same two functions, now of Exchanges; the test's claim is as it was.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -271,7 +271,7 @@
         world.codec.encode(
             fr.Ping(
                 sender=other.own.claim,
-                sequence=other.sequence + 1000 + number,
+                sequence=other.outgoing.sequence + 1000 + number,
                 number=number,
                 summary=fr.Summary(other.view, other.count),
             ),
--- a/garnetrelay/fleet/mail.py
+++ b/garnetrelay/fleet/mail.py
@@ -172,8 +172,7 @@
                 return
 
     def _sequence(self) -> int:
-        self.members.sequence += 1
-        return self.members.sequence
+        return self.members.outgoing.next_sequence()
 
     def _carry_out(self, now: int, effects: list[Effect], replies: list[Reply] | None = None) -> list[Reply]:
         made: list[Reply] = list(replies or [])
--- /dev/null
+++ b/garnetrelay/fleet/members/outgoing.py
@@ -0,0 +1,79 @@
+"""The frames and log lines that one relay's decisions ask for, with the sequence numbers of its frames. No I/O."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Sequence
+
+from garnetrelay.fleet.members import frames as fr
+from garnetrelay.fleet.members.claims import Claim, Place
+from garnetrelay.fleet.members.effects import Effect, Note, Tell
+from garnetrelay.fleet.members.holding import Holding
+from garnetrelay.fleet.members.settings import Settings
+
+FIXED = 96  # bytes of a frame besides its sender's claim, its claims and its words, at most
+
+
+class Outgoing:
+    """Puts datagrams and log lines behind the other effects. ``sequence`` is the number of the last frame."""
+
+    def __init__(self, holding: Holding, settings: Settings, effects: list[Effect], sequence: int) -> None:
+        self.sequence = sequence
+        self._holding = holding
+        self._settings = settings
+        self._effects = effects
+
+    @property
+    def sender(self) -> Claim:
+        """The claim that stands on each frame: this relay's on itself."""
+        return self._holding.own.claim
+
+    def next_sequence(self) -> int:
+        """The number of the next frame of this process."""
+        self.sequence += 1
+        return self.sequence
+
+    def version(self, claim: Claim) -> int:
+        """The version of frames that is spoken with a member."""
+        return min(claim.speaks, self._settings.versions)
+
+    def room(self) -> int:
+        """Bytes in a frame for claims and words."""
+        return self._settings.most_frame - fr.HEAD - FIXED - self.sender.size()
+
+    def news(self, room: int, to: str) -> list[Claim]:
+        """The claims that are spread with the next frame to a member, in so much room (bytes)."""
+        limit = self._settings.repeats * self._settings.scale(self._holding.count)
+        return self._holding.spreading.take(room, limit, to)
+
+    def summary(self) -> fr.Summary:
+        """This relay's view, in short."""
+        return fr.Summary(self._holding.view, self._holding.count)
+
+    def tell(self, place: Place, frame: fr.Frame, version: int) -> None:
+        """A datagram."""
+        self._effects.append(Tell(place, frame, version))
+
+    def ping(
+        self,
+        place: Place,
+        version: int,
+        number: int,
+        claims: Sequence[Claim] = (),
+        origin: str = "",
+        summary: fr.Summary | None = None,
+    ) -> None:
+        """A question by its number; 0 where no answer is looked for. ``origin``: the member it is asked for."""
+        ping = fr.Ping(
+            sender=self.sender,
+            sequence=self.next_sequence(),
+            number=number,
+            claims=list(claims),
+            origin=origin,
+            summary=summary,
+        )
+        self.tell(place, ping, version)
+
+    def note(self, text: str, level: int = logging.INFO) -> None:
+        """A line for the log."""
+        self._effects.append(Note(text, level))
--- a/garnetrelay/fleet/members/rounds.py
+++ b/garnetrelay/fleet/members/rounds.py
@@ -10,25 +10,6 @@
 import random
 from collections import deque
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
-
-from garnetrelay.fleet.members.claims import Identity
-
-
-@dataclass(slots=True)
-class Probe:
-    """The present one."""
-
-    name: str
-    identity: Identity
-    number: int
-    began: int
-    ask_at: int  # without an answer by then, others are asked
-    ends_at: int
-    asked: bool = False
-    expected_nacks: int = 0
-    nacks: int = 0
-    done: bool = False  # it has answered this relay, or one that asked for it
 
 
 class Rounds:
--- a/garnetrelay/fleet/service.py
+++ b/garnetrelay/fleet/service.py
@@ -143,7 +143,7 @@
         members = self.members
         if members is None or not members.own.named:
             return None
-        found = Passing(members.own.claim, members.sequence, list(members.table.claims()))
+        found = Passing(members.own.claim, members.outgoing.sequence, list(members.table.claims()))
         return msgspec.to_builtins(found)  # type: ignore[no-any-return]
 
     def read_secrets(self) -> None:
@@ -197,6 +197,7 @@
         return _json_lines(status.controllers(self.leases, clock.now()))
 
     def figures(self) -> str:
+        """The fleet's part of the figures, a line each; with that of leases where they are on."""
         assert self.members is not None
         transport = self.transport
         found = words.figures(
--- a/tests/fleet/test_scale.py
+++ b/tests/fleet/test_scale.py
@@ -13,7 +13,9 @@
 from garnetrelay.fleet.members import frames as fr
 from garnetrelay.fleet.members.claims import Claim, Place, Status
 from garnetrelay.fleet.members.effects import Exchange, Tell
-from garnetrelay.fleet.members.protocol import BULK_PERIODS, FIXED, Members
+from garnetrelay.fleet.members.exchanges import BULK_PERIODS, Exchanges
+from garnetrelay.fleet.members.outgoing import FIXED
+from garnetrelay.fleet.members.protocol import Members
 from garnetrelay.fleet.members.settings import SECOND, Settings
 from garnetrelay.laboratory.links import Fate, between
 from garnetrelay.laboratory.meter import Kind, Meter
@@ -65,8 +67,8 @@
 
 
 def test_whole_lists_in_peace_would_be_seen(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Members, "_digests_like", lambda members, theirs: b"")
-    monkeypatch.setattr(Members, "_digests", lambda members, buckets: b"")
+    monkeypatch.setattr(Exchanges, "digests_like", lambda exchanges, theirs: b"")
+    monkeypatch.setattr(Exchanges, "_digests", lambda exchanges, buckets: b"")
     world, meter = gathered(1)
     began = world.now
     world.run(began + 60 * SECOND)
