--- a/garnetrelay/fleet/members/asking.py
+++ b/garnetrelay/fleet/members/asking.py
@@ -83,6 +83,7 @@
         return question if isinstance(frame, fr.Vouch | fr.Nack) and question.why is Why.PROBE else None
 
     def close(self, number: int) -> None:
+        """Forget a question: an answer to it counts for nothing from now on."""
         self._open.pop(number, None)
 
     def unanswered(self, now: int) -> Iterator[Question]:
--- a/garnetrelay/fleet/members/claims.py
+++ b/garnetrelay/fleet/members/claims.py
@@ -83,14 +83,17 @@
 
     @property
     def identity(self) -> Identity:
+        """The life and the process that the word is on."""
         return Identity(self.life, self.process)
 
     @property
     def place(self) -> Place:
+        """Where the member hears, by this word."""
         return Place(self.host, self.port)
 
     @property
     def final(self) -> bool:
+        """Whether the life has ended: failed or left."""
         return self.status >= Status.FAILED
 
     @property
--- a/garnetrelay/fleet/members/holding.py
+++ b/garnetrelay/fleet/members/holding.py
@@ -47,6 +47,7 @@
 
     @property
     def name(self) -> str:
+        """This relay's own name."""
         return self.own.claim.name
 
     @property
--- a/garnetrelay/fleet/members/table.py
+++ b/garnetrelay/fleet/members/table.py
@@ -91,6 +91,7 @@
         return len(self.members)
 
     def get(self, name: str) -> Member | None:
+        """A member, or one that has gone and is not forgotten yet."""
         return self.members.get(name) or self.gone.get(name)
 
     def by_mark(self, whom: int) -> Member | None:
--- a/garnetrelay/fleet/transport.py
+++ b/garnetrelay/fleet/transport.py
@@ -187,6 +187,7 @@
         self._writer = writer
 
     async def send(self, frame: fr.Frame, version: int) -> None:
+        """Write a frame, and wait where the other side does not read; OSError where the connection is lost."""
         data = self._transport.codec.encode(frame, version)
         self._writer.write(LENGTH.pack(len(data)) + data)
         self._transport.bytes_out += len(data) + LENGTH.size
@@ -207,4 +208,5 @@
             raise
 
     def close(self) -> None:
+        """End the connection; what is written goes out first."""
         self._writer.close()
--- a/garnetrelay/fleet/words.py
+++ b/garnetrelay/fleet/words.py
@@ -80,6 +80,7 @@
 
 
 def line(members: Members, member: Member, now: int) -> Line:
+    """What is said of one member: ages in seconds, and whether it holds the view of ``members``."""
     claim = member.claim
     fresh = member.word_at is not None and member.word_at >= members.view_changed_at and member.word_view >= 0
     return Line(
