--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -16,6 +16,7 @@
     fleet,
     fleet_cost,
     fleet_scale,
+    leases,
     restarts,
     simulator,
     starts,
@@ -159,6 +160,22 @@
             chosen.members, chosen.seed, chosen.peace, chosen.cut, chosen.steps, chosen.workers
         )
     )
+    thirteen = commands.add_parser("leases", help=leases.__doc__)
+    parts = thirteen.add_subparsers(required=True)
+    part = parts.add_parser("faults", help=leases.faults.__doc__)
+    part.add_argument("--seeds", type=int, default=1000)
+    part.add_argument("--planted-seeds", type=int, default=100)
+    part.set_defaults(run=lambda chosen: leases.faults(chosen.seeds, chosen.planted_seeds))
+    part = parts.add_parser("partitions", help=leases.partitions.__doc__)
+    part.add_argument("--relays", type=int, default=620)
+    part.add_argument("--sizes", type=int, nargs="+", default=[4096, 8192, 16384])
+    part.set_defaults(run=lambda chosen: leases.partitions(chosen.relays, chosen.sizes))
+    part = parts.add_parser("size", help=leases.size.__doc__)
+    part.add_argument("--relays", type=int, default=620)
+    part.add_argument("--partitions", type=int, default=8192)
+    part.add_argument("--lease", type=int, default=15)
+    part.add_argument("--renew", type=int, default=4)
+    part.set_defaults(run=lambda chosen: leases.size(chosen.relays, chosen.partitions, chosen.lease, chosen.renew))
     eight = commands.add_parser("restarts", help=restarts.compare.__doc__)
     eight.add_argument("--seeds", type=int, default=20)
     eight.set_defaults(run=lambda chosen: restarts.compare(chosen.seeds))
