Benchmarks: real controllers under 620 hollow relays by sockets and disk

Need: a controller's cost was known for its decisions alone; sockets, syncs and many relays that crash at once were named in docs/CAPACITY.md as not measured.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -13,6 +13,7 @@
 from benchmarks import (
     asking,
     cold,
+    controllers,
     fleet,
     fleet_cost,
     fleet_scale,
@@ -27,6 +28,7 @@
 )
 from benchmarks.capacity import command as capacity_command
 from benchmarks.kit import carried
+from benchmarks.lease_cluster import Terms
 from benchmarks.peers import Cost, measure
 
 FLOOR = ["benchmarks.floor", "{PORT}", "{SINK}"]
@@ -216,6 +218,21 @@
             )
         )
     )
+    fourteen = commands.add_parser("controllers", help=controllers.load.__doc__)
+    fourteen.add_argument("--relays", type=int, default=620)
+    fourteen.add_argument("--controllers", type=int, default=5)
+    fourteen.add_argument("--partitions", type=int, default=8192)
+    fourteen.add_argument("--lease-ms", type=int, default=15_000)
+    fourteen.add_argument("--patience", type=float, default=120.0, help="seconds for each thing that is waited for")
+    fourteen.add_argument("--seconds", type=float, default=20.0, help="of renewals")
+    fourteen.add_argument("--killed", type=int, default=103, help="relays that crash at once; 0: none")
+    fourteen.set_defaults(
+        run=lambda chosen: controllers.load(
+            Terms(chosen.relays, chosen.controllers, chosen.partitions, chosen.lease_ms, chosen.patience),
+            chosen.seconds,
+            chosen.killed,
+        )
+    )
     capacity_command.register(commands)
     options = parser.parse_args()
     print(machine())
