Tests: when full exchanges begin, and local health, each without the rest of a relay

Need: both are classes of their own now and can be checked alone.

Change: tests/fleet/test_exchanges.py, five tests: seeds in turn with a gap that doubles up to its bound, a turn without members or without a name, repair after its pause, local health in its bounds.

--- /dev/null
+++ b/tests/fleet/test_exchanges.py
@@ -0,0 +1,65 @@
+"""When full exchanges begin and with whom, and local health, each without the rest of a relay."""
+
+import random
+
+import pytest
+
+from garnetrelay.fleet.members.claims import Claim, Place, Status
+from garnetrelay.fleet.members.effects import Effect, Exchange
+from garnetrelay.fleet.members.exchanges import JOIN_GAPS, Exchanges
+from garnetrelay.fleet.members.health import LocalHealth
+from garnetrelay.fleet.members.holding import Holding
+from garnetrelay.fleet.members.outgoing import Outgoing
+from garnetrelay.fleet.members.settings import Settings
+
+SETTINGS = Settings()
+SEEDS = [Place("10.0.0.2", 1), Place("10.0.0.3", 1)]
+OWN = Claim("own", 1, 1, 1, 0, Status.ALIVE, "10.0.0.1", 1, 2)
+
+
+def made(seeds: list[Place]) -> tuple[Exchanges, list[Effect], Holding]:
+    effects: list[Effect] = []
+    holding = Holding(OWN, SETTINGS, effects)
+    outgoing = Outgoing(holding, SETTINGS, effects, 0)
+    return Exchanges(holding, outgoing, SETTINGS, effects, random.Random(1), 0, seeds), effects, holding
+
+
+def test_seeds_are_tried_in_turn_and_the_gap_doubles_up_to_its_bound() -> None:
+    exchanges, effects, _ = made(SEEDS)
+    for tried in range(1, 2 * len(SEEDS) * JOIN_GAPS):
+        now = exchanges.join_at
+        exchanges.join(now)
+        gap = SETTINGS.probe_every // 5 << min(JOIN_GAPS, tried // len(SEEDS))
+        assert gap // 2 <= exchanges.join_at - now < gap // 2 + gap
+        exchanges.join(exchanges.join_at - 1)  # too early: nothing
+        assert effects == [Exchange(SEEDS[each % len(SEEDS)]) for each in range(tried)]
+
+
+def test_a_turn_without_members_goes_to_a_seed_and_without_a_name_to_nobody() -> None:
+    exchanges, effects, holding = made(SEEDS[:1])
+    exchanges.take_turn(exchanges.next_at - 1)
+    assert not effects
+    exchanges.take_turn(exchanges.next_at)
+    assert effects == [Exchange(SEEDS[0])]
+    holding.own.named = False
+    before = exchanges.next_at
+    exchanges.take_turn(before)
+    assert effects == [Exchange(SEEDS[0])] and exchanges.next_at > before
+
+
+def test_another_view_is_asked_for_once_words_have_had_their_time_and_once_in_it() -> None:
+    exchanges, effects, holding = made([])
+    pause = SETTINGS.calm_after(holding.count)
+    for now, begun in ((pause - 1, 0), (pause, 1), (2 * pause - 1, 1), (2 * pause, 2)):
+        exchanges.repair(now, SEEDS[0], changed_at=0)
+        assert len(effects) == begun
+
+
+@pytest.mark.parametrize(("lifeguard", "expected"), [(True, SETTINGS.most_slow), (False, 0)])
+def test_local_health_stays_in_its_bounds(lifeguard: bool, expected: int) -> None:
+    health = LocalHealth(Settings(lifeguard=lifeguard))
+    health.change(-1)
+    assert health.slow == 0
+    for _ in range(2 * SETTINGS.most_slow):
+        health.change(1)
+    assert health.slow == expected
