--- a/tests/rehearsal/faults.py
+++ b/tests/rehearsal/faults.py
@@ -108,8 +108,8 @@
     """A message that was delivered ends as failed besides, once in a while."""
 
     def make(finish: Any) -> Any:
-        def wrong(self: Any, message: Any, result: Any, wait_ms: int) -> None:
-            finish(self, message, result, wait_ms)
+        def wrong(self: Any, message: Any, result: Any, wait_ms: int, tell: Any = None) -> None:
+            finish(self, message, result, wait_ms, tell)
             if result is None and int(message.ref, 16) % 20 == 0:
                 import asyncio
 
@@ -252,10 +252,10 @@
     """A call that passed is taken for one that never was."""
 
     def make(recovered: Any) -> Any:
-        def wrong(self: Any, entry: Any, now_ms: int) -> Any:
+        def wrong(self: Any, entry: Any, now: int) -> Any:
             if self.inheritance is not None and self.inheritance.calls.pop(entry.ref, None) is not None:
                 entry.trying_at = None
-            return recovered(self, entry, now_ms)
+            return recovered(self, entry, now)
 
         return wrong
 
