Review case 3: a crowd of unfinished messages takes the relay over its memory limit

Cause: nothing bounds the bytes of unfinished commands of all connections together, and each is held twice, in Connection.raw and in the parser's buffer.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+exec .venv/bin/python -B review/3/case.py
