A rejected client's earlier requests are answered before its connection is half-closed

Cause: callers saw messages answered +OK that were never delivered and never ended by a notice. A connection whose command can't be parsed was half-closed at once, although an earlier request on it still waited for its answer. Writing that answer raised "Cannot call write() after write_eof()" out of Relay.tick (_execute for a refusal, _release for an acceptance), and the other actions of that tick were dropped: a call without an outcome never ends its message. Traced by the exception in the loop's handler; it is raised in both places.

Change: the error is written behind the answers that are outstanding, and only then is the connection half-closed. The same cause on two related paths is fixed with it: a client that ends its sending behind the unreadable command, and descriptors that run out meanwhile, closed the connection with the request unanswered. Nothing else half-closes a connection with an open answer, so that no write can follow.

--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -82,6 +82,7 @@
         self.replies: deque[Reply] = deque()
         self.lost = False
         self.closing = False
+        self.rejected = False  # closing because of an error, which is written behind the answers that are still open
         self.at_eof = False  # the client sends nothing more
         self.last_active_at = 0.0  # when the last byte was received, or the last request answered
         self.timer: asyncio.TimerHandle | None = None
@@ -149,7 +150,7 @@
         """The client sends nothing more but may still read: outstanding answers are written before the close."""
         self.at_eof = True
         self._stop_timer()
-        if self.replies and not self.closing:
+        if self.replies:
             return True
         if self.transport is not None:
             self._close(self.transport)
@@ -257,15 +258,23 @@
             ready.append(self.replies.popleft().data or b"")
         if ready and self.transport is not None and not self.lost:
             self.transport.write(b"".join(ready))
-        if not self.replies and not self.closing and not self.lost:
-            self.last_active_at = self.server.now()
-            self.server.idle.pop(self, None)  # re-inserted at the end: idle for the shortest time
-            self.server.idle[self] = None
+        if not self.replies and not self.lost:
+            self._on_all_answered()
+
+    def _on_all_answered(self) -> None:
+        """No answer is outstanding: the connection is idle, or closes if that only waited for the answers."""
+        if self.rejected:
+            self._linger()
+        if self.closing:
+            return
+        self.last_active_at = self.server.now()
+        self.server.idle.pop(self, None)  # re-inserted at the end: idle for the shortest time
+        self.server.idle[self] = None
         if self.server.ended:
             self.end()
-        elif self.at_eof and not self.replies and not self.closing and self.transport is not None:
+        elif self.at_eof and self.transport is not None:
             self._close(self.transport)
-        elif self.server.draining and not self.closing:
+        elif self.server.draining:
             self.close_between_requests()
 
     def fail(self, text: str) -> None:
@@ -273,17 +282,17 @@
         self._reject(lambda reply: reply.error(text), text)
 
     def _reject(self, answer: Callable[[Reply], None], why: str) -> None:
+        """Answer, and close once the client can have read that. Earlier requests are answered first: a connection that
+        is half-closed before could not be written to any more."""
         if not self.closing:
             self.server.log_client_error(f"client connection closed: {why}")
-            self.closing = True
+            self.closing = self.rejected = True
             self.raw.clear()
             self._stop_timer()
             self.server.mark_busy(self)
-            self.server.lingering[self] = None
             reply = Reply(self)
             self.replies.append(reply)
             answer(reply)
-            self._linger()
 
     def _linger(self) -> None:
         """Half-close the connection. Closing it with unread bytes would send a reset, and the client would lose the
@@ -291,6 +300,10 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return
+        if self.at_eof:
+            self._close(transport)
+            return
+        self.server.lingering[self] = None
         if transport.can_write_eof():
             transport.write_eof()
         self.timer = asyncio.get_running_loop().call_later(LINGER_S, self._on_linger_end, self.server.now())
