Tests: a relay's configuration is replaced in one step, so that no process reads half of it

Field.environment writes the file anew for each process, and the first one, which had started, read it while it was empty.

Change: the file is written beside and renamed. The test itself is as it was.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -117,7 +117,8 @@
 
     def environment(self, port: int = 0) -> dict[str, str]:
         path = self.folder / "config.json"
-        path.write_text(
+        written = path.with_suffix(".new")
+        written.write_text(
             json.dumps(
                 {
                     "name": "n0",
@@ -130,6 +131,7 @@
                 }
             )
         )
+        written.rename(path)  # a process that starts meanwhile reads the old file or the new one, never half of one
         return {
             "RELAY_CONFIG": str(path),
             "RELAY_STATE": str(self.state),
