Requests in memory are limited over all connections; announced sizes take nothing

Cause: callers saw the platform kill a relay for memory. Commands and connections were limited, their product was not: 900 unfinished messages of 64 KiB. Told apart in a bare process, 900 of them each: the received bytes 60.9 MiB, the parser's buffer 61.1, both (as the relay held them) 121.0, the same behind a rejection 121.0, and two nested lists of 16,000 entries announced in 27 bytes 179.5 MiB: hiredis allocates what a client announces, and nothing limits that.

Change: fronts/resp/commands.py splits what is received into commands, holds it once, and checks each count and length when it is announced; hiredis is needed by the rehearsal and the tests alone (requirements-tools.txt). fronts/resp/request_memory.py counts what is incomplete or not answered over all connections: an eighth of the memory limit, the largest incomplete request is refused first. The same cause on related paths: whole requests that wait for one tick are refused above the limit; commands of a client that does not read its answers wait. test_architecture: the three modules count as decision logic, hiredis as a tool's library.

--- a/garnetrelay/config/deployment.py
+++ b/garnetrelay/config/deployment.py
@@ -24,6 +24,8 @@
 RESERVED_DESCRIPTORS = 48
 FLEET_DESCRIPTORS = 16  # in addition in a fleet; the same as DESCRIPTORS of ``config/fleet.py``, which is not loaded here
 FLEET_STATE_BYTES = 4096  # of the state folder, for the old and the new file of the life number
+REQUEST_MEMORY_SHARE = 8  # an eighth of the memory limit is for requests that are incomplete or not answered
+MIN_REQUEST_BYTES = 1 << 20  # some requests with the longest body, whatever the memory limit is
 OPERATOR_DESCRIPTORS = 10  # in addition with operators' commands: a listener, connections, and some to be refused
 
 
@@ -83,6 +85,11 @@
             - (FLEET_DESCRIPTORS if self.fleet is not None else 0),
         )
 
+    @property
+    def request_bytes(self) -> int:
+        """The memory for clients' requests that are incomplete or not answered, over all connections."""
+        return max(MIN_REQUEST_BYTES, self.memory_bytes // REQUEST_MEMORY_SHARE)
+
     @property
     def journal_bytes(self) -> int:
         """The share of the state folder that the store may use."""
--- a/garnetrelay/daemon.py
+++ b/garnetrelay/daemon.py
@@ -73,7 +73,7 @@
     )
     try:
         config = load(os.environ)
-        # A length in a client's command may request any amount of memory: an absurd allocation fails at once.
+        # An absurd allocation fails at once, instead of using up the memory of the machine.
         max_address_space = config.memory_bytes + (512 << 20)
         resource.setrlimit(resource.RLIMIT_AS, (max_address_space, resource.getrlimit(resource.RLIMIT_AS)[1]))
         asyncio.run(serve(config, early_sighups))
--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -12,14 +12,13 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-import hiredis
-
-from garnetrelay.fronts.resp.requests import MAX_BODY_BYTES, RejectedError, parse_enqueue
+from garnetrelay.fronts.resp.commands import CommandReader, ProtocolError
+from garnetrelay.fronts.resp.request_memory import RequestMemory
+from garnetrelay.fronts.resp.requests import RejectedError, parse_enqueue
 from garnetrelay.fronts.resp.requests import Request as Request
 
 log = logging.getLogger(__name__)
 
-MAX_COMMAND_BYTES = MAX_BODY_BYTES + 16 * 1024  # a command including its framing
 MAX_OPEN_REQUESTS = 64  # unanswered commands per connection: usual clients have one
 COMMAND_TIMEOUT_S = 2.0  # for a connection's first command, or for any command to be completed once it has begun
 MIN_IDLE_S = 2.0  # a connection without an open request for this long may be closed in favour of a new one
@@ -33,16 +32,17 @@
 ACCEPT_TICKS = 3  # ticks from accept to connection_made: a task's first step, then the callbacks that it schedules
 TCP_INFO_LAST_DATA = struct.Struct("=52xI")  # tcpi_last_data_recv: milliseconds since the kernel received data
 MAX_CLIENT_LOGS_PER_S = 10  # log lines about what clients send
-PARSE_CHUNK_BYTES = 16 * 1024  # bytes parsed at a time, so that little is left unparsed after a command
+MAX_UNREAD_ANSWER_BYTES = 16 * 1024  # of a client that does not read its answers: no further command is handled
 
 
 class Reply:
     """One answer in a connection's queue, which is written in the order of the requests."""
 
-    __slots__ = ("_connection", "data")
+    __slots__ = ("_connection", "request_bytes", "data")
 
     def __init__(self, connection: Connection) -> None:
         self._connection = connection
+        self.request_bytes = 0  # of the request, while it is counted as not answered
         self.data: bytes | None = None
 
     @property
@@ -64,6 +64,9 @@
 
     def _set(self, data: bytes) -> None:
         self.data = data
+        if self.request_bytes:
+            self._connection.server.memory.answered(self.request_bytes)
+            self.request_bytes = 0
         self._connection.send_ready()
 
 
@@ -77,19 +80,20 @@
         self.server = server
         self.inherited = inherited  # from another process: bytes of an incomplete command, value of has_sent_command
         self.has_sent_command = inherited is not None and inherited[1]
-        self.reader = hiredis.Reader(protocolError=RejectedError, replyError=RejectedError)
-        self.raw = bytearray()  # the bytes of an incomplete command
+        self.reader = CommandReader()
         self.replies: deque[Reply] = deque()
         self.lost = False
         self.closing = False
         self.rejected = False  # closing because of an error, which is written behind the answers that are still open
         self.at_eof = False  # the client sends nothing more
+        self.answers_unread = False  # the client does not read its answers
         self.last_active_at = 0.0  # when the last byte was received, or the last request answered
         self.timer: asyncio.TimerHandle | None = None
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=MAX_UNREAD_ANSWER_BYTES)
         self.last_active_at = self.server.now()
         if self.inherited is not None:
             self._resume(*self.inherited)
@@ -117,6 +121,11 @@
         if raw:
             self.data_received(raw)
 
+    @property
+    def raw(self) -> bytearray:
+        """The bytes behind the last command: of an incomplete one, or not handled as the client reads no answers."""
+        return self.reader.unread
+
     @property
     def can_hand_over(self) -> bool:
         """Whether another process can take over: no answer is outstanding or still being written."""
@@ -173,52 +182,47 @@
         else:
             self.fail("no whole command in time")
 
-    # Stop reading commands while the client does not read its answers, which would fill the memory.
+    # Neither read nor handle commands while the client does not read its answers, which would fill the memory.
     def pause_writing(self) -> None:
+        self.answers_unread = True
         if self.transport is not None:
             self.transport.pause_reading()
 
     def resume_writing(self) -> None:
+        self.answers_unread = False
         if self.transport is not None and not self.closing and not self.server.ended:
             self.transport.resume_reading()
+            self._handle_commands()
 
     def data_received(self, data: bytes) -> None:
         self.last_active_at = self.server.now()
-        for start in range(0, len(data), PARSE_CHUNK_BYTES):
-            if self.closing:
-                return  # rejected: anything it still sends is read and discarded
-            self._parse(data[start : start + PARSE_CHUNK_BYTES])
+        if self.closing:
+            return  # rejected: anything it still sends is read and discarded
+        self.reader.feed(data)
+        self._handle_commands()
         if self.server.draining and not self.closing:
             self.close_between_requests()
 
-    def _parse(self, chunk: bytes) -> None:
-        if not self.raw and (chunk[:1] != b"*" or len(chunk) > 2 and chunk[2:3] not in b"\r0123456789"):
-            self.fail("a command is an array of bulk strings")
-            return
-        self.raw += chunk
+    def _handle_commands(self) -> None:
+        """Handle the complete commands that were received."""
+        memory = self.server.memory
+        memory.set_incomplete(self, 0)
         try:
-            self.reader.feed(chunk)
-            while (words := self.reader.gets()) is not False:
+            while not self.closing and not self.answers_unread:
+                words = self.reader.next_command()
+                if words is None:
+                    break
                 self._handle_command(words)
-                if self.closing:
-                    return
-        except (RejectedError, hiredis.HiredisError, MemoryError) as error:
+        except ProtocolError as error:
             self.fail(f"Protocol error: {error}")  # the framing is lost: nothing after it can be parsed
+        if self.closing:
             return
-        if len(self.raw) > MAX_COMMAND_BYTES:
-            self.fail("command too long")
-        elif self.raw and self.timer is None:
+        memory.set_incomplete(self, len(self.raw))
+        if self.raw and self.timer is None:
             self._start_command_timer()
+        self.server.limit_request_memory()
 
-    def _handle_command(self, words: Any) -> None:
-        if not isinstance(words, list) or not words or not all(isinstance(word, bytes) for word in words):
-            raise RejectedError("a command is an array of bulk strings")
-        # The parser accepts any two bytes as the end of a line. With a wrong length the message would be accepted with
-        # half of its body, so the received bytes must equal the encoding of these words.
-        written = hiredis.pack_command(tuple(words))
-        if not self.raw.startswith(written):
-            raise RejectedError("a length is wrong")
-        del self.raw[: len(written)]
+    def _handle_command(self, words: list[bytes]) -> None:
         self._stop_timer()
         self.has_sent_command = True
         self.server.mark_busy(self)
@@ -229,9 +233,10 @@
             if name == b"ENQUEUE":
                 request = parse_enqueue(words)
                 request.patience_ms -= self._unread_ms()
-                if len(self.replies) > MAX_OPEN_REQUESTS:
+                if len(self.replies) > MAX_OPEN_REQUESTS or not self.server.memory.admit(len(request.body)):
                     reply.busy(0)
                 else:
+                    reply.request_bytes = len(request.body)
                     self.server.handler(request, reply)
             elif name == b"PING" and len(words) <= 2:
                 reply.pong(words[1] if len(words) == 2 else None)
@@ -281,13 +286,18 @@
         """Send an error and close, as nothing further on the connection can be parsed."""
         self._reject(lambda reply: reply.error(text), text)
 
+    def make_room(self) -> None:
+        """Give up an incomplete command for lack of memory; the client may submit its request again."""
+        self._reject(lambda reply: reply.busy(0), f"too many bytes of incomplete requests: {len(self.raw)} of this one")
+
     def _reject(self, answer: Callable[[Reply], None], why: str) -> None:
         """Answer, and close once the client can have read that. Earlier requests are answered first: a connection that
         is half-closed before could not be written to any more."""
         if not self.closing:
             self.server.log_client_error(f"client connection closed: {why}")
             self.closing = self.rejected = True
-            self.raw.clear()
+            self.reader.clear()
+            self.server.memory.set_incomplete(self, 0)
             self._stop_timer()
             self.server.mark_busy(self)
             reply = Reply(self)
@@ -377,15 +387,21 @@
 
 
 class Server:
-    """Listens for clients and limits their connections. ``remaining_capacity`` returns how many more may be opened;
-    ``free_descriptor`` closes an idle connection to a host and returns False if there is none to close."""
+    """Listens for clients and limits their connections and memory. ``remaining_capacity`` returns how many more may be
+    opened; ``free_descriptor`` closes an idle connection to a host and returns False if there is none to close.
+    ``request_bytes``: limit of the requests that are incomplete or not answered, over all connections."""
 
     def __init__(
-        self, handler: Handler, remaining_capacity: Callable[[], int], free_descriptor: Callable[[], bool]
+        self,
+        handler: Handler,
+        remaining_capacity: Callable[[], int],
+        free_descriptor: Callable[[], bool],
+        request_bytes: int,
     ) -> None:
         self.handler = handler
         self.remaining_capacity = remaining_capacity
         self.free_descriptor = free_descriptor
+        self.memory: RequestMemory[Connection] = RequestMemory(request_bytes)
         self.connections: set[Connection] = set()
         self.idle: dict[Connection, None] = {}  # without an open request, the longest idle first
         self.without_command: dict[Connection, None] = {}  # the same, before their first command
@@ -540,6 +556,11 @@
                     return True
         return False
 
+    def limit_request_memory(self) -> None:
+        """Reject clients whose commands are incomplete until the requests in memory fit."""
+        while (connection := self.memory.largest_incomplete()) is not None:
+            connection.make_room()
+
     @property
     def connection_counts(self) -> str:
         """How many connections are in which state, for the log."""
@@ -555,6 +576,7 @@
 
     def untrack(self, connection: Connection) -> None:
         self.connections.discard(connection)
+        self.memory.set_incomplete(connection, 0)
         self.mark_busy(connection)
         self.lingering.pop(connection, None)
         if self.on_closed is not None:
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -115,7 +115,12 @@
             self.journal.when_recorded,
             config.machine_durable,
         )
-        self.server = Server(self.on_request, self._remaining_client_connections, self._close_idle_host_connection)
+        self.server = Server(
+            self.on_request,
+            self._remaining_client_connections,
+            self._close_idle_host_connection,
+            config.request_bytes,
+        )
         self.server.on_closed = self._end_if_idle
         self.reader = ListReader(config)
         self.discovery = Discovery(config.discovery, self.reader, 0, self.on_list_update)
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -55,6 +55,9 @@
     "garnetrelay.fleet.members",
     "garnetrelay.fleet.partitions",
     "garnetrelay.fleet.signing",
+    "garnetrelay.fronts.resp.commands",
+    "garnetrelay.fronts.resp.request_memory",
+    "garnetrelay.fronts.resp.requests",
     "garnetrelay.loop_lag",
     "garnetrelay.operators.commands",
     "garnetrelay.operators.metrics",
@@ -87,7 +90,7 @@
 )
 
 # Libraries of the tools only (requirements-tools.txt); the deployed relay does not have them.
-TOOLS = frozenset({"click", "jinja2", "matplotlib", "rich"})
+TOOLS = frozenset({"click", "hiredis", "jinja2", "matplotlib", "rich"})
 TOOL_PARTS = ("garnetrelay.cli", "garnetrelay.rehearsal", "garnetrelay.simulation")
 
 
