delivery/http: one exchange on a connection, and the requests, in modules of their own

Change: connection.py (Exchange, Connection; what it needs of its pool as a protocol), requests.py, and hosts.py with the rest, word for word. Imports of tests and benchmarks follow; no test changes otherwise.

--- a/benchmarks/capacity/protocols.py
+++ b/benchmarks/capacity/protocols.py
@@ -9,7 +9,7 @@
 from benchmarks.capacity.size import CONTROL_NETWORK, DAY, SIZE, Mark, Unit
 from benchmarks.capacity.subject import Results, Row
 from garnetrelay.config.deployment import Address
-from garnetrelay.delivery.http.hosts import call_request
+from garnetrelay.delivery.http.requests import call_request
 
 BODY = 400  # bytes: nobody told how long events are; `message` of these benchmarks has the same
 REF, KEY = "client-7-000000001", "key-000000001"
--- a/garnetrelay/attempt.py
+++ b/garnetrelay/attempt.py
@@ -13,8 +13,9 @@
 from typing import TYPE_CHECKING, Protocol
 
 from garnetrelay.config.deployment import Address, Config
-from garnetrelay.delivery.http import hosts as net
 from garnetrelay.delivery.http.answers import Outcome
+from garnetrelay.delivery.http.connection import Exchange
+from garnetrelay.delivery.http.requests import call_request
 from garnetrelay.pending import PendingMessage
 from garnetrelay.recovery_stats import RecoveryStats
 from garnetrelay.store.store import Store
@@ -67,9 +68,9 @@
     destination: int = -1  # set where leases are on and this relay owns the destination
     epoch: int | None = None  # the epoch of that ownership, as recorded
 
-    def exchange(self) -> net.Exchange:
+    def exchange(self) -> Exchange:
         """The exchange that carries out this attempt."""
-        exchange = net.Exchange(self.host, self.stop_at, self.prepare, self.done, self.final_check, self.message.ref)
+        exchange = Exchange(self.host, self.stop_at, self.prepare, self.done, self.final_check, self.message.ref)
         if self.relay.owners is not None:
             exchange.before_first_byte = self.check_lease
         return exchange
@@ -85,7 +86,7 @@
         self.recorded = self.relay.journal.record_attempt(message.ref, name, time.time_ns() // MS, self.epoch)
         if self.recorded and self.relay.recovery_stats.on_attempt(message.ref):
             log.info("%s", self.relay.recovery_stats)
-        return net.call_request(address, message.ref, message.key, message.body, self.stop_at) if self.recorded else None
+        return call_request(address, message.ref, message.key, message.body, self.stop_at) if self.recorded else None
 
     def final_check(self) -> bool:
         """Whether the call may still begin: its time limit has not passed, and the Pacer still allows it."""
--- a/garnetrelay/delivery/http/hosts.py
+++ b/garnetrelay/delivery/http/hosts.py
@@ -1,8 +1,4 @@
-"""Calls and probes to hosts over HTTP/1.1, and the connections that carry them.
-
-A connection carries one call at a time and is reused only while it is known to be good. If a connection breaks after
-a request was written in full, the outcome is a reset; before that, the call never ran. A malformed answer is reported
-as such whatever its status, except for a status line with 200. This module never resends a request.
+"""Calls and probes to hosts over HTTP/1.1: which connection carries which, and how many are open.
 
 Calls that begin in one batch are gathered: one write records all their attempts, and only then is the first byte of
 any of them sent.
@@ -11,20 +7,17 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import errno
 import functools
 import logging
-import select
 import socket
 import time
 from collections import deque
 from collections.abc import Callable
-from typing import cast
 
 from garnetrelay.config.deployment import Address
-from garnetrelay.delivery.http.answers import AnswerReader, Outcome
-from garnetrelay.socket_poll import after_socket_poll
+from garnetrelay.delivery.http.answers import Outcome
+from garnetrelay.delivery.http.connection import Connection, Exchange
 from starlingwick import interface as io
 
 log = logging.getLogger(__name__)
@@ -32,248 +25,8 @@
 SECOND = 1_000_000_000
 IDLE_SHARE = 0.8  # of the host's own idle limit: a call written just as the host closes would end as a reset
 LOCAL_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # connect errors not caused by the host
-ANSWER_REST_TIMEOUT_S = 0.5  # for the remainder of an answer once it has begun
-
-Prepare = Callable[[Address], bytes | None]
-
-
-def always_true() -> bool:
-    return True
-
-
-class Exchange:
-    """One call or probe. ``prepare`` builds the request once a connection is ready, or returns None to abandon the
-    exchange. ``final_check`` runs just before the first byte, since recording the attempt may take time in between."""
-
-    __slots__ = (
-        "host",
-        "stop_at",
-        "prepare",
-        "final_check",
-        "_on_outcome",
-        "ended",
-        "connection",
-        "opening",
-        "timer",
-        "ref",
-        "before_first_byte",
-    )
-
-    def __init__(
-        self,
-        host: str,
-        stop_at: int,
-        prepare: Prepare,
-        on_outcome: Callable[[Outcome], None],
-        final_check: Callable[[], bool] = always_true,
-        ref: str | None = None,
-    ) -> None:
-        self.ref = ref  # of the message that is sent; None: a probe
-        self.final_check = final_check
-        self.before_first_byte: Callable[[], None] | None = None  # called just before the first byte is written
-        self.host = host
-        self.stop_at = stop_at
-        self.prepare = prepare
-        self._on_outcome = on_outcome
-        self.ended = False
-        self.connection: Connection | None = None
-        self.opening: asyncio.Task[None] | None = None
-        self.timer: asyncio.TimerHandle | None = None
-
-    def end(self, outcome: Outcome) -> None:
-        """Report the outcome; only the first call has an effect."""
-        if self.ended:
-            return
-        self.ended = True
-        if self.timer is not None:
-            self.timer.cancel()
-        self._on_outcome(outcome)
-
-    def abandon(self) -> None:
-        """Cancel an exchange whose connection is not established: it never ran, and says nothing about the host."""
-        if self.opening is not None:
-            self.opening.cancel()
-        self.end(Outcome(io.Status.ABANDONED))
-
-    def start_timer(self) -> None:
-        """End the exchange at ``stop_at``. An answer that the kernel has received by then is read first."""
-        self.timer = asyncio.get_running_loop().call_at(self.stop_at / SECOND, after_socket_poll, self._on_deadline)
-
-    def _on_deadline(self) -> None:
-        """Does nothing if a handover has cancelled the timer since it fired: another process has the exchange."""
-        if self.timer is not None and not self.timer.cancelled():
-            self.give_up(io.Status.TIMEOUT)
-
-    def give_up(self, status: io.Status) -> None:
-        """End the exchange with a status and close its connection. A request not written in full never ran."""
-        if self.ended:
-            return
-        connection = self.connection
-        if connection is None:
-            if self.opening is not None:
-                self.opening.cancel()
-            self.end(Outcome(io.Status.CONNECT_FAILED))
-            return
-        # Once written in full the call may have run, even if a partial answer says that it did not.
-        outcome = Outcome(status if connection.written_in_full() else io.Status.CONNECT_FAILED)
-        connection.abort()
-        if outcome.status is io.Status.TIMEOUT:
-            # Connections to a machine that vanished stay open without traffic and are reset once it is back:
-            # an unsafe message written to one of them would end as dead.
-            connection.pool.close_idle(self.host)
-        self.end(outcome)
-
-
-class Connection(asyncio.Protocol):
-    """One connection to a host: carries an exchange, is idle, or is closed."""
-
-    __slots__ = ("pool", "host", "address", "reader", "exchange", "at_eof", "idle_since", "transport", "timer", "used")
-
-    def __init__(self, pool: Hosts, host: str, address: Address) -> None:
-        self.pool = pool
-        self.host = host
-        self.address = address
-        self.reader = AnswerReader()
-        self.exchange: Exchange | None = None
-        self.used = False  # at least one call on it has been answered
-        self.at_eof = False  # the host sends nothing more
-        self.idle_since = 0.0
-        self.transport: asyncio.Transport | None = None
-        self.timer: asyncio.TimerHandle | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        self.pool.open.add(self)
-
-    def connection_lost(self, error: Exception | None) -> None:
-        self.pool.untrack(self)
-        self._stop_timer()
-        if self.exchange is not None:
-            self.at_eof = True
-            self._finish(self._partial_outcome(), keep=False)
-        self.reader.close()
-
-    def eof_received(self) -> bool:
-        # An answer without a length ends with the connection.
-        self.at_eof = True
-        if self.exchange is not None:
-            self.reader.end()
-            self._process_answer()
-            if self.exchange is not None:
-                self._finish(self._partial_outcome(), keep=False)
-        return False
-
-    @property
-    def usable(self) -> bool:
-        """Whether the connection is idle and the kernel has received nothing on it, in particular no EOF. The socket
-        itself is polled, since the event loop may not have delivered an EOF yet; a call written after it would end as a
-        reset."""
-        if self.transport is None or self.transport.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
-
-    @property
-    def can_hand_over(self) -> bool:
-        """Whether another process can take over: the request is written in full, and no byte of an answer was read."""
-        return (
-            self.written_in_full()
-            and not self.at_eof
-            and not self.reader.received
-            and self.transport is not None
-            and not self.transport.is_closing()
-        )
-
-    @property
-    def descriptor(self) -> int:
-        assert self.transport is not None
-        return int(self.transport.get_extra_info("socket").fileno())
-
-    def close_after_handover(self) -> None:
-        """Close this process's copy of a connection that another process has taken over, without reporting an outcome."""
-        exchange = self.exchange
-        self.abort()
-        if exchange is not None and exchange.timer is not None:
-            exchange.timer.cancel()
-
-    def written_in_full(self) -> bool:
-        return self.transport is not None and self.transport.get_write_buffer_size() == 0
-
-    def start(self, exchange: Exchange, request: bytes) -> None:
-        """Write the request."""
-        self._stop_timer()
-        self.exchange, exchange.connection = exchange, self
-        self.reader.begin()
-        assert self.transport is not None
-        self.transport.write(request)
-        if exchange.ref is not None:  # counted now: hosts read at full speed, so any remainder is written a moment later
-            self.pool.calls_written += 1
-
-    def data_received(self, data: bytes) -> None:
-        if self.exchange is None:
-            self.abort()  # no request is open: these bytes could be taken for the next answer
-            return
-        self.reader.feed(data)
-        self._process_answer()
-
-    def _process_answer(self) -> None:
-        """Act on what has been parsed of the answer so far."""
-        reader = self.reader
-        if reader.complete:
-            self._finish(self._classified(reader.outcome or self._partial_outcome()), reader.keep and not self.at_eof)
-            return
-        if reader.delivered and self.exchange is not None:
-            # The status line is enough. The connection stays busy until the rest of the answer has been read.
-            self.exchange.end(reader.outcome or Outcome(io.Status.OK, finished=True))
-        if reader.broken:
-            self._finish(self._partial_outcome(), keep=False)
-        elif not reader.in_progress:
-            self._stop_timer()
-        elif self.timer is None:
-            self.timer = asyncio.get_running_loop().call_later(ANSWER_REST_TIMEOUT_S, self._on_answer_overdue)
-
-    def _classified(self, outcome: Outcome) -> Outcome:
-        """Recognises a host with too many connections, which refuses a new connection before it checks limits. Only the
-        first answer on a connection can mean that."""
-        first, self.used = not self.used, True
-        if first and outcome.status is io.Status.FULL and not outcome.wait and outcome.report is None:
-            return dataclasses.replace(outcome, status=io.Status.CROWDED)
-        return outcome
-
-    def _stop_timer(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
 
-    def _partial_outcome(self) -> Outcome:
-        """The outcome of an answer that is not read to its end. Only a 200 counts, and whether bytes came."""
-        if self.reader.delivered:
-            return self.reader.outcome or Outcome(io.Status.OK, finished=True)
-        # If no byte was received, or EOF cut the answer short, it is the connection that failed.
-        return Outcome(io.Status.RESET if self.at_eof or not self.reader.received else io.Status.SPOILT)
-
-    def _on_answer_overdue(self) -> None:
-        self._finish(self._partial_outcome(), keep=False)
-
-    def _finish(self, outcome: Outcome, keep: bool) -> None:
-        exchange, self.exchange = self.exchange, None
-        self._stop_timer()
-        if keep:
-            self.pool.keep_or_close(self)
-        else:
-            self.abort()
-        if exchange is not None:
-            exchange.end(outcome)
-
-    def abort(self) -> None:
-        """Close at once; the host sees this as an abandoned call."""
-        self.pool.untrack(self)
-        self._stop_timer()
-        self.exchange = None
-        self.reader.close()
-        if self.transport is not None:
-            self.transport.abort()
+PreparedCall = tuple[Connection, Exchange, bytes]  # a call whose attempt is being recorded, and its request
 
 
 class Hosts:
@@ -477,23 +230,3 @@
         if oldest is not None:
             oldest.abort()
         return oldest is not None
-
-
-PreparedCall = tuple[Connection, Exchange, bytes]  # a call whose attempt is being recorded, and its request
-
-
-def call_request(address: Address, ref: str, key: str | None, body: bytes, stop_at: int) -> bytes:
-    """The HTTP request of a message's call. ``ref`` and ``key`` contain no spaces and no control characters: the
-    front checks that before it accepts a message."""
-    remaining_ms = max(1, (stop_at - time.monotonic_ns()) // 1_000_000)
-    keyed = "" if key is None else f"Idempotency-Key: {key}\r\n"
-    head = (
-        f"POST /hook HTTP/1.1\r\nHost: {address}\r\nX-Request-ID: {ref}\r\n{keyed}"
-        f"X-Timeout-Ms: {remaining_ms}\r\nContent-Length: {len(body)}\r\n\r\n"
-    )
-    return head.encode("ascii") + body
-
-
-def probe_request(address: Address, with_report: bool) -> bytes:
-    path = "/-/load" if with_report else "/-/healthy"
-    return f"GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode("ascii")
--- a/garnetrelay/handover/sender.py
+++ b/garnetrelay/handover/sender.py
@@ -20,7 +20,7 @@
 from starlingwick.snapshot import take_snapshot
 
 if TYPE_CHECKING:
-    from garnetrelay.delivery.http import hosts as net
+    from garnetrelay.delivery.http import connection as net
     from garnetrelay.fronts.resp import server as front
     from garnetrelay.handover.interface import HandoverRelay
     from garnetrelay.pending import PendingMessage
--- a/garnetrelay/pending.py
+++ b/garnetrelay/pending.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from garnetrelay.delivery.http.hosts import Exchange
+from garnetrelay.delivery.http.connection import Exchange
 from garnetrelay.fronts.resp.requests import Request
 from garnetrelay.fronts.resp.server import Reply
 
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -19,8 +19,10 @@
 from garnetrelay.attempt import Attempt
 from garnetrelay.config.deployment import Address, Config
 from garnetrelay.counters import Counters
-from garnetrelay.delivery.http import hosts as net
 from garnetrelay.delivery.http.answers import Outcome
+from garnetrelay.delivery.http.connection import Exchange
+from garnetrelay.delivery.http.hosts import Hosts, PreparedCall
+from garnetrelay.delivery.http.requests import probe_request
 from garnetrelay.discovery.client import Discovery
 from garnetrelay.discovery.host_list import ListReader, ListUpdate
 from garnetrelay.fronts.resp.requests import RejectedError, Request
@@ -108,7 +110,7 @@
         self.stop_deadline_passed = False
         self.finished = asyncio.Event()
         # Clients and hosts share one budget of descriptors: each side may use what the other leaves of its share.
-        self.hosts = net.Hosts(
+        self.hosts = Hosts(
             config.settings,
             self._remaining_host_connections,
             lambda: self.server.close_longest_idle(),
@@ -439,7 +441,7 @@
         self,
         notices: list[tuple[str, str, int]],
         new_requests: list[NewRequest],
-        calls: list[net.PreparedCall],
+        calls: list[PreparedCall],
         recorded: bool,
     ) -> None:
         """Send what a tick has decided, or refuse it if it could not be recorded. Notices of ends are sent in any
@@ -572,12 +574,12 @@
             return self.pacer.clear_to_send(time.monotonic_ns(), None, probe.host)
 
         def prepare(address: Address) -> bytes | None:
-            return net.probe_request(address, self.config.load_reports) if final_check() else None
+            return probe_request(address, self.config.load_reports) if final_check() else None
 
         def done(outcome: Outcome) -> None:
             self.post(io.Probed(probe.host, outcome.status, time.monotonic_ns() - started, outcome.report))
 
-        self.hosts.begin(net.Exchange(probe.host, probe.stop_at, prepare, done, final_check))
+        self.hosts.begin(Exchange(probe.host, probe.stop_at, prepare, done, final_check))
 
     # ---- ends of messages
 
--- a/tests/rehearsal/faults.py
+++ b/tests/rehearsal/faults.py
@@ -16,7 +16,7 @@
 from garnetrelay import __main__ as program
 from garnetrelay import daemon
 from garnetrelay import relay as core
-from garnetrelay.delivery.http import answers, hosts
+from garnetrelay.delivery.http import answers, connection
 from garnetrelay.discovery import client, host_list
 from garnetrelay.fronts.resp import server
 from garnetrelay.operators import exclusions
@@ -146,7 +146,7 @@
 
         return wrong
 
-    replaced(hosts.Connection, "_partial_outcome", make)
+    replaced(connection.Connection, "_partial_outcome", make)
 
 
 def attempts_not_recorded() -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,8 +16,9 @@
 from garnetrelay import attempt as attempt_module
 from garnetrelay import shutdown
 from garnetrelay.config.deployment import Address
-from garnetrelay.delivery.http import hosts
 from garnetrelay.delivery.http.answers import Outcome
+from garnetrelay.delivery.http.connection import Exchange
+from garnetrelay.delivery.http.requests import probe_request
 from garnetrelay.discovery import host_list, watches
 from garnetrelay.discovery.host_list import ObjectSplitter, UnreadableListError
 from garnetrelay.fronts.resp import server as resp_server
@@ -543,7 +544,7 @@
     gate = asyncio.Event()
     connect = net._connect
 
-    async def delayed_connect(exchange: hosts.Exchange, address: Address) -> None:
+    async def delayed_connect(exchange: Exchange, address: Address) -> None:
         await gate.wait()
         await connect(exchange, address)
 
@@ -568,7 +569,7 @@
     outcomes: list[Outcome] = []
     callbacks: list[object] = []
     net.when_recorded = callbacks.append
-    exchange = hosts.Exchange("s-1", 1 << 62, lambda address: hosts.probe_request(address, False), outcomes.append)
+    exchange = Exchange("s-1", 1 << 62, lambda address: probe_request(address, False), outcomes.append)
     net.begin(exchange)
     await until(lambda: bool(callbacks))
     exchange.give_up(io.Status.CANCELLED)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from garnetrelay.delivery.http import hosts
+from garnetrelay.delivery.http import connection as host_connection
 from garnetrelay.delivery.http.answers import AnswerReader, Outcome
 from garnetrelay.discovery import watches
 from garnetrelay.fronts.resp import server as resp_server
@@ -36,7 +36,7 @@
 @pytest.mark.parametrize("handed_over", [True, False])
 async def test_a_call_handed_over_to_another_process_does_not_time_out_here(handed_over: bool) -> None:
     outcomes: list[Outcome] = []
-    exchange = hosts.Exchange("s-1", 0, lambda address: None, outcomes.append)
+    exchange = host_connection.Exchange("s-1", 0, lambda address: None, outcomes.append)
     exchange.start_timer()
     for _ in range(2):
         await asyncio.sleep(0)  # the timer has run; the time-out waits for a poll of the sockets
@@ -236,7 +236,7 @@
     net = field.relays[0].hosts
     opened = []
     for host in ("s-2", "s-1"):
-        net.begin(hosts.Exchange(host, 1 << 62, lambda address: None, lambda outcome: opened.append(outcome)))
+        net.begin(host_connection.Exchange(host, 1 << 62, lambda address: None, lambda outcome: opened.append(outcome)))
         await until(lambda: bool(opened))
         opened.clear()
     assert net.close_longest_idle() and list(net.idle) == ["s-1"]
@@ -245,13 +245,13 @@
     net.free_descriptor = lambda: not asked.append(True)  # type: ignore[func-returns-value]
     net.remaining_capacity = lambda: 0
     for _ in range(2):  # an idle client is closed first: the second call finds the connection of the first
-        net.begin(hosts.Exchange("s-1", 1 << 62, lambda address: None, opened.append))
+        net.begin(host_connection.Exchange("s-1", 1 << 62, lambda address: None, opened.append))
         await until(lambda: bool(opened))
         opened.clear()
     assert len(asked) == 1 and net.close_longest_idle()
     net.free_descriptor = lambda: False
     net.remaining_capacity = lambda: 0
-    net.begin(hosts.Exchange("s-1", 1 << 62, lambda address: None, opened.append))
+    net.begin(host_connection.Exchange("s-1", 1 << 62, lambda address: None, opened.append))
     await until(lambda: bool(opened))
     assert opened == [Outcome(io.Status.ABANDONED)] and net.count == 0
     await other.stop()
@@ -346,7 +346,7 @@
 async def test_status_200_counts_in_a_malformed_answer(
     field: Field, monkeypatch: pytest.MonkeyPatch, data: bytes
 ) -> None:
-    monkeypatch.setattr(hosts, "ANSWER_REST_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(host_connection, "ANSWER_REST_TIMEOUT_S", 0.1)
     client = await field.start()
     await client.enqueue("m1", "unsafe")
     call = await field.host.next_call()
@@ -386,7 +386,7 @@
     field: Field, monkeypatch: pytest.MonkeyPatch, data: bytes
 ) -> None:
     """The host is neither suspect nor under a wait: it may answer other calls as before."""
-    monkeypatch.setattr(hosts, "ANSWER_REST_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(host_connection, "ANSWER_REST_TIMEOUT_S", 0.1)
     client = await field.start()
     await client.enqueue("m1", "unsafe", d=8000)
     call = await field.host.next_call()
@@ -412,7 +412,7 @@
 async def test_answer_after_1xx_is_not_limited_by_the_time_for_the_rest_of_an_answer(
     field: Field, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(hosts, "ANSWER_REST_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(host_connection, "ANSWER_REST_TIMEOUT_S", 0.05)
     client = await field.start()
     await client.enqueue("m1", "unsafe")
     call = await field.host.next_call()
@@ -574,7 +574,7 @@
     net, pacer = field.relays[0].hosts, field.relays[0].pacer
     begin = net.begin
 
-    def drained_meanwhile(exchange: hosts.Exchange) -> None:
+    def drained_meanwhile(exchange: host_connection.Exchange) -> None:
         begin(exchange)
         pacer.hosts[exchange.host][1].usable = False
 
--- a/tests/test_repeat_window.py
+++ b/tests/test_repeat_window.py
@@ -12,8 +12,8 @@
 import pytest_asyncio
 
 from garnetrelay import recovery
-from garnetrelay.delivery.http import hosts
 from garnetrelay.delivery.http.answers import Outcome
+from garnetrelay.delivery.http.connection import Connection, Exchange
 from garnetrelay.relay import Relay
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
@@ -100,7 +100,7 @@
     relay = await unstarted_relay(field)
     original_start = relay.hosts._prepare_and_start
 
-    def late(connection: hosts.Connection, exchange: hosts.Exchange) -> None:
+    def late(connection: Connection, exchange: Exchange) -> None:
         clock.advance(WINDOW)
         original_start(connection, exchange)
 
@@ -134,7 +134,7 @@
     net, ends, clear = field.relays[0].hosts, list[Outcome](), [True]
     await until(lambda: any(net.idle.values()))
     net.gather()
-    net.begin(hosts.Exchange("s-1", 1 << 62, lambda address: b"GET / HTTP/1.1\r\n\r\n", ends.append, lambda: clear[0]))
+    net.begin(Exchange("s-1", 1 << 62, lambda address: b"GET / HTTP/1.1\r\n\r\n", ends.append, lambda: clear[0]))
     gathered = net.gathered()
     assert len(gathered) == 1 and not ends
     clear[0] = False
