--- a/garnetrelay/rehearsal/conductor.py
+++ b/garnetrelay/rehearsal/conductor.py
@@ -23,6 +23,7 @@
 from garnetrelay.rehearsal.misbehaving_clients import MisbehavingClients
 from garnetrelay.rehearsal.observer import Observer
 from garnetrelay.rehearsal.partners.endpoints import Partners
+from garnetrelay.rehearsal.partners.model import InjectedFault
 from garnetrelay.rehearsal.plan import SECOND, Plan, Step
 from garnetrelay.rehearsal.relays import MAX_START_ATTEMPTS, RelayProcess, StartError
 from garnetrelay.rehearsal.scenario import PARTNER_FAULTS, Scenario
@@ -203,8 +204,10 @@
         at, since = self.observer.action_time()
         self.observer.record(ev.Step(at, since, " ".join([spec.what, targets.strip(", ")]).strip(), step.partners))
         if spec.what in PARTNER_FAULTS:
+            until = self.began + step.ends
+            fault = InjectedFault(spec.what, until, spec.share, spec.factor, spec.late_ms, spec.refused)
             for number in step.partners:
-                self.partners.inject_fault(number, spec.what, self.began + step.ends, spec.share, spec.factor)
+                self.partners.inject_fault(number, fault)
             self._at_end(step, self._clear_faults, step)
         elif spec.what in ("restart", "kill"):
             self._start_task(self._restart(step))
--- a/garnetrelay/rehearsal/events.py
+++ b/garnetrelay/rehearsal/events.py
@@ -168,6 +168,14 @@
     readable: bool = True
 
 
+class AnswerRepeated(Observed, frozen=True, gc=False, tag="answer-repeated"):
+    """An endpoint writes a second copy of the answer to a call (0: to a probe), on the same connection."""
+
+    call: int
+    relay: str
+    route: str
+
+
 class CallEnded(Observed, frozen=True, gc=False, tag="call-ended"):
     """The connection of a call was ended by the ``relay`` or the ``partner``, before the answer or soon after it."""
 
@@ -276,6 +284,7 @@
     | Unanswered
     | CallReceived
     | CallAnswered
+    | AnswerRepeated
     | CallEnded
     | Effect
     | ProbeReceived
--- a/garnetrelay/rehearsal/http.py
+++ b/garnetrelay/rehearsal/http.py
@@ -48,10 +48,15 @@
 
     def answer(self, status: int, *headers: str, body: bytes = b"") -> None:
         """Write a complete answer; headers as ``Name: value``."""
+        self.raw(self.encode_answer(status, *headers, body=body))
+
+    @staticmethod
+    def encode_answer(status: int, *headers: str, body: bytes = b"") -> bytes:
+        """The bytes of a complete answer; headers as ``Name: value``."""
         head = _heads.get(status) or b"HTTP/1.1 %d Whatever\r\n" % status
         header_lines = "".join(f"{header}\r\n" for header in headers).encode("latin-1")
         length = b"" if status == 204 else b"Content-Length: %d\r\n" % len(body)
-        self.raw(head + length + header_lines + b"\r\n" + body)
+        return head + length + header_lines + b"\r\n" + body
 
     def raw(self, data: bytes) -> None:
         """Write any bytes instead of an answer."""
--- a/garnetrelay/rehearsal/partners/endpoints.py
+++ b/garnetrelay/rehearsal/partners/endpoints.py
@@ -6,13 +6,14 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 from collections.abc import Callable
 
 from garnetrelay.rehearsal import events as ev
 from garnetrelay.rehearsal.http import Call, Connection, HttpServer
 from garnetrelay.rehearsal.observer import Observer
-from garnetrelay.rehearsal.partners.model import InjectedFault, Partner, Reply, ScheduledReply
+from garnetrelay.rehearsal.partners.model import DEGRADING_FAULTS, InjectedFault, Partner, Reply, ScheduledReply
 from garnetrelay.rehearsal.plan import Plan, RoutePlan
 
 SECOND = 1_000_000_000
@@ -104,7 +105,7 @@
             if status:
                 load = self.partner.load(now, self.route)
                 body = b"x0=%.4f,x1=%.3f" % load if call.target == "/-/load" and load else b""
-                call.answer(status, body=body)
+                self._answer(call, status, body=body)
             return
         ref = call.headers.get("x-request-id", "")
         call.number, call.came = next(self.partners.numbers), now
@@ -158,12 +159,27 @@
             invalid = self.partner.plan.number in self.partners.invalid_load_reports
             header = f"X-Server-Load: x0={load[0]:.4f},x1={load[1]:.3f}"
             headers.append(INVALID_LOAD_HEADERS[call.number % len(INVALID_LOAD_HEADERS)] if invalid else header)
-        call.answer(reply.status, *headers)
+        self._answer(call, reply.status, *headers)
         ends_connection = fault is not None and fault.kind == "reset" and self.partner.random.random() < fault.share
         if reply.wait_ms and ends_connection:
             # The connection ends after an answer with a wait. After a reset, the relay may never read that answer.
             (call.close if call.number % 2 else call.break_off)()
 
+    def _answer(self, call: Call, status: int, *headers: str, body: bytes = b"") -> None:
+        """Write an answer, and a second copy of it later if the partner's fault is that."""
+        answer = call.encode_answer(status, *headers, body=body)
+        call.raw(answer)
+        delay = self.partner.second_copy_delay(self.route)
+        if delay is not None:
+            self.partners.call_later(delay, self._write_copy, call, answer)
+
+    def _write_copy(self, call: Call, answer: bytes) -> None:
+        if call.connection.lost:
+            return
+        at, since = self.partners.observer.action_time()
+        self.partners.observer.record(ev.AnswerRepeated(at, since, call.number, self.relay, self.route))
+        call.raw(answer)
+
     def _record_effect(self, call: Call, at: int) -> None:
         """Record the effect of a call that has run, unless it is recognised as a repeat."""
         zone = self.partner.routes[self.route].plan.zone
@@ -248,11 +264,8 @@
 
     def schedule_reply(self, listener: Listener, scheduled: ScheduledReply) -> None:
         """Schedule the reply to a started call."""
-        loop = asyncio.get_running_loop()
-        handle: asyncio.TimerHandle
 
         def finish() -> None:
-            self._timers.discard(handle)
             call = listener.accepted.pop(scheduled.call, None)
             if call is not None:
                 listener.reply(call, scheduled.reply)
@@ -260,7 +273,20 @@
                 # The queued call may have arrived through another relay's listener.
                 self.schedule_reply(self._find_listener(listener.route, following.call) or listener, following)
 
-        handle = loop.call_at(self.observer.clock.loop_time(scheduled.at), finish)
+        self._call_at(self.observer.clock.loop_time(scheduled.at), finish)
+
+    def call_later(self, delay_s: float, function: Callable[..., None], *arguments: object) -> None:
+        """Call a function later, unless the run ends before."""
+        self._call_at(asyncio.get_running_loop().time() + delay_s, functools.partial(function, *arguments))
+
+    def _call_at(self, when: float, function: Callable[[], None]) -> None:
+        handle: asyncio.TimerHandle
+
+        def run() -> None:
+            self._timers.discard(handle)
+            function()
+
+        handle = asyncio.get_running_loop().call_at(when, run)
         self._timers.add(handle)
 
     def _find_listener(self, route: str, call: int) -> Listener | None:
@@ -268,16 +294,16 @@
 
     # ---- faults
 
-    def inject_fault(self, number: int, kind: str, until: int, share: float, factor: float) -> None:
+    def inject_fault(self, number: int, fault: InjectedFault) -> None:
         """Inject a fault into all scopes of a partner."""
         now = self.observer.clock.now()
         partner = self.partners[number]
         for scope in partner.plan.scopes:
-            partner.inject_fault(now, scope, InjectedFault(kind, until, share, factor))
-            if kind not in ("slow", "spoil", "reset") and share >= 0.5:
+            partner.inject_fault(now, scope, fault)
+            if fault.kind not in DEGRADING_FAULTS and fault.share >= 0.5:
                 self.in_outage.add(scope)
-                self.observer.record(ev.OutageBegan(now, now, scope, kind))
-        if kind == "down":
+                self.observer.record(ev.OutageBegan(now, now, scope, fault.kind))
+        if fault.kind == "down":
             self._abort(partner)
 
     def clear_fault(self, number: int, cold: float | None, ramp: int) -> None:
--- a/garnetrelay/rehearsal/partners/model.py
+++ b/garnetrelay/rehearsal/partners/model.py
@@ -23,6 +23,9 @@
 )
 
 
+DEGRADING_FAULTS = frozenset({"reset", "repeat", "slow", "spoil"})  # the partner goes on serving: no outage
+
+
 @dataclass(slots=True, frozen=True)
 class Reply:
     """How a call is answered: with a status, with malformed bytes, by a connection reset, or (``no_answer``) not at all.
@@ -39,14 +42,16 @@
     reports_load: bool = True
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, frozen=True)
 class InjectedFault:
     """The fault that is injected into a scope."""
 
-    kind: str  # shut, hang, fail, reset, spoil, slow, down, silent
+    kind: str  # shut, hang, fail, reset, spoil, repeat, slow, down, silent
     until: int
     share: float = 1.0  # of the calls that are affected
     factor: float = 1.0  # multiplies the service time
+    late_ms: tuple[float, float] = (0.0, 0.0)  # range, from an answer to its second copy
+    refused: float = 0.0  # share of the calls that end with 503 after the usual time, where answers are written twice
 
 
 @dataclass(slots=True)
@@ -232,13 +237,20 @@
         fault = route.scope.fault
         if route.scope.fallen or route.draining:
             return 503
-        if fault is None or fault.kind in ("slow", "spoil", "reset"):
+        if fault is None or fault.kind in DEGRADING_FAULTS:
             return 200
         return 0 if fault.kind in ("hang", "silent") else 503
 
+    def second_copy_delay(self, name: str) -> float | None:
+        """The seconds from an answer of a route to its second copy; None if the answer is written once."""
+        fault = self.routes[name].scope.fault
+        if fault is None or fault.kind != "repeat" or self.random.random() >= fault.share:
+            return None
+        return self.random.uniform(*fault.late_ms) / 1000
+
     def _faulty_reply(self, now: int, scope: Scope) -> Reply | None:
         fault = scope.fault
-        if fault is None or fault.kind in ("slow", "silent", "down") or self.random.random() >= fault.share:
+        if fault is None or fault.kind in ("repeat", "slow", "silent", "down") or self.random.random() >= fault.share:
             return None
         runs = self.random.random() < 0.5
         match fault.kind:
@@ -264,7 +276,8 @@
         factor = fault.factor if fault is not None and fault.kind == "slow" else 1.0
         mean = self.plan.service * factor / route.scope.capacity_share(now)
         duration = mean * self.random.lognormvariate(-(self.plan.spread**2) / 2, self.plan.spread)
-        return ScheduledReply(call, now + int(duration), Reply(200, runs=True))
+        refused = fault is not None and fault.refused and self.random.random() < fault.refused
+        return ScheduledReply(call, now + int(duration), Reply(503) if refused else Reply(200, runs=True))
 
     # ---- faults and load reports
 
--- a/garnetrelay/rehearsal/scenario.py
+++ b/garnetrelay/rehearsal/scenario.py
@@ -21,7 +21,7 @@
 Count = Annotated[int, Meta(ge=1, le=100_000)]
 Range = tuple[Amount, Amount]
 
-PARTNER_FAULTS = ("shut", "hang", "silent", "fail", "reset", "spoil", "slow", "down")
+PARTNER_FAULTS = ("shut", "hang", "silent", "fail", "reset", "spoil", "repeat", "slow", "down")
 What = Literal[
     "shut",
     "hang",
@@ -29,6 +29,7 @@
     "fail",
     "reset",
     "spoil",
+    "repeat",
     "slow",
     "down",  # partners
     "burst",
@@ -136,6 +137,8 @@
     count: Count = 1  # of partners, endpoints or misbehaving clients
     share: Share = 1.0  # of the calls, or of the traffic
     factor: Positive = 2.0  # multiplies the traffic, or the service time
+    late_ms: Range = (0, 15)  # from an answer to its second copy, drawn for each
+    refused: Share = 0.0  # of the calls, by a partner that writes answers twice: 503 after the usual time, without effect
     cold: bool = True  # a partner recovers cold
     start: Annotated[float, Meta(gt=0, le=1)] = 0.25  # share of the capacity that a cold partner starts with
     relays: Literal["one", "rolling", "all"] = "one"
--- a/tests/rehearsal/test_partners.py
+++ b/tests/rehearsal/test_partners.py
@@ -89,3 +89,17 @@
     assert isinstance(reply, Reply) and reply.malformed and reply.runs
     model.clear_fault(0, "partner-1", None, 0)
     assert isinstance(model.arrive(0, "r1", 3), ScheduledReply)
+
+
+def test_answers_are_written_twice_only_while_the_fault_lasts_and_at_its_share() -> None:
+    model = partner(slots=1000)
+    assert model.second_copy_delay("r1") is None
+    model.inject_fault(0, "partner-1", InjectedFault("repeat", SECOND, share=0.5, late_ms=(2, 15), refused=0.2))
+    delays = [model.second_copy_delay("r1") for _ in range(1000)]
+    copies = [delay for delay in delays if delay is not None]
+    assert 400 < len(copies) < 600 and min(copies) >= 0.002 and max(copies) <= 0.015
+    started = [model.arrive(0, "r1", n) for n in range(1000)]
+    refused = [due for due in started if isinstance(due, ScheduledReply) and due.reply == Reply(503)]
+    assert 130 < len(refused) < 270 and model.probe(0, "r1") == 200  # it goes on serving
+    model.clear_fault(0, "partner-1", None, 0)
+    assert model.second_copy_delay("r1") is None
