A connection to a host rests for 50 ms behind each answer before it is used again

Cause: callers saw payments made twice, keyed messages sent again in another building and messages that nobody delivered or ended. An endpoint wrote an answer a second time; the relay had written the next request on that connection, and took the copy for the answer to it. On the wire nothing tells them apart.

Change: Hosts takes a connection that has rested for SETTLE_S behind its last answer, else reserves the one that will have rested first; what comes meanwhile closes it and says so in the log, and the call goes on with another. A call that ends while it waits was never sent (ABANDONED). As a call may wait so long, it is overdue after 0.1 s at the earliest, whatever the host's mean time is. The bound: a copy later than 50 ms, behind the next request, is still taken for its answer. Tests: Field.warm waits until the next call may be written at once, since tests count on that; conditions are as before otherwise. The stand-ins don't write a copy that a busy machine has held up beyond what the scenario allows.

With the rest planted away the checker names lost messages (second-copies-not-awaited). Of the five cases of tests/delivery/test_connections.py the two with a copy fail without the change, as the second call comes on the same connection; the others need names that it brings.

--- a/garnetrelay/delivery/http/connection.py
+++ b/garnetrelay/delivery/http/connection.py
@@ -1,15 +1,21 @@
 """One connection to a host, and the exchanges that it carries: one call or probe at a time.
 
-A connection is reused only while it is known to be good. If it breaks after a request was written in full, the outcome is
-a reset; before that, the call never ran. A malformed answer is reported as such whatever its status, except for a status
-line with 200. This module never resends a request.
+A connection is reused only while it is known to be good. Answers carry nothing that tells which request they belong to:
+a second copy of an answer that comes behind the next request is taken for the answer to that request. So a connection
+rests for a while behind each answer, and what comes meanwhile shows that it must not be reused.
+
+If a connection breaks after a request was written in full, the outcome is a reset; before that, the call never ran. A
+malformed answer is reported as such whatever its status, except for a status line with 200. This module never resends a
+request.
 """
 
 from __future__ import annotations
 
 import asyncio
 import dataclasses
+import logging
 import select
+import time
 from collections.abc import Callable
 from typing import Protocol, cast
 
@@ -18,7 +24,10 @@
 from garnetrelay.socket_poll import after_socket_poll
 from starlingwick import interface as io
 
+log = logging.getLogger(__name__)
+
 SECOND = 1_000_000_000
+SETTLE_S = 0.05  # from an answer until the next request on its connection
 ANSWER_REST_TIMEOUT_S = 0.5  # for the remainder of an answer once it has begun
 
 Prepare = Callable[[Address], bytes | None]
@@ -97,8 +106,10 @@
             return
         connection = self.connection
         if connection is None:
-            if self.opening is not None:
-                self.opening.cancel()
+            if self.opening is None:  # it waits for a connection that is open
+                self.abandon()
+                return
+            self.opening.cancel()
             self.end(Outcome(io.Status.CONNECT_FAILED))
             return
         # Once written in full the call may have run, even if a partial answer says that it did not.
@@ -133,7 +144,19 @@
 class Connection(asyncio.Protocol):
     """One connection to a host: carries an exchange, is idle, or is closed."""
 
-    __slots__ = ("pool", "host", "address", "reader", "exchange", "at_eof", "idle_since", "transport", "timer", "used")
+    __slots__ = (
+        "pool",
+        "host",
+        "address",
+        "reader",
+        "exchange",
+        "at_eof",
+        "idle_since",
+        "answered_at",
+        "transport",
+        "timer",
+        "used",
+    )
 
     def __init__(self, pool: ConnectionPool, host: str, address: Address) -> None:
         self.pool = pool
@@ -144,6 +167,7 @@
         self.used = False  # at least one call on it has been answered
         self.at_eof = False  # the host sends nothing more
         self.idle_since = 0.0
+        self.answered_at = -SETTLE_S  # when the last answer was complete, by the monotonic clock like ``idle_since``
         self.transport: asyncio.Transport | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -180,6 +204,11 @@
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
         return not poll.poll(0)
 
+    @property
+    def settled_at(self) -> float:
+        """When another request may be written: a second copy of the last answer would have come by then."""
+        return self.answered_at + SETTLE_S
+
     @property
     def can_hand_over(self) -> bool:
         """Whether another process can take over: the request is written in full, and no byte of an answer was read."""
@@ -218,7 +247,9 @@
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None:
-            self.abort()  # no request is open: these bytes could be taken for the next answer
+            age_ms = (time.monotonic() - self.answered_at) * 1000
+            log.info("%s sent bytes without a request, %.1f ms after its last answer: closed", self.host, age_ms)
+            self.abort()  # these bytes could be taken for the next answer
             return
         self.reader.feed(data)
         self._process_answer()
@@ -265,6 +296,7 @@
     def _finish(self, outcome: Outcome, keep: bool) -> None:
         exchange, self.exchange = self.exchange, None
         self._stop_timer()
+        self.answered_at = time.monotonic()
         if keep:
             self.pool.keep_or_close(self)
         else:
--- a/garnetrelay/delivery/http/hosts.py
+++ b/garnetrelay/delivery/http/hosts.py
@@ -14,6 +14,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from garnetrelay.config.deployment import Address
 from garnetrelay.delivery.http.answers import Outcome
@@ -26,6 +27,15 @@
 IDLE_SHARE = 0.8  # of the host's own idle limit: a call written just as the host closes would end as a reset
 LOCAL_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # connect errors not caused by the host
 
+
+@dataclass(slots=True, frozen=True)
+class Reservation:
+    """An exchange that waits until a connection is settled."""
+
+    exchange: Exchange
+    timer: asyncio.TimerHandle
+
+
 PreparedCall = tuple[Connection, Exchange, bytes]  # a call whose attempt is being recorded, and its request
 
 
@@ -53,6 +63,7 @@
         self.idle_by_age: dict[Connection, None] = {}  # all idle connections, the longest idle first
         self.opening: set[asyncio.Task[None]] = set()
         self.calls_written = 0  # since the start of the process
+        self._reserved: dict[Connection, Reservation] = {}  # connections that are not settled
         self._gathered: list[PreparedCall] | None = None
         self._expiry_timer: asyncio.TimerHandle | None = None
 
@@ -88,16 +99,47 @@
 
     def begin(self, exchange: Exchange) -> None:
         """Start a call or a probe, on an idle connection if there is a usable one."""
-        loop = asyncio.get_running_loop()
         exchange.start_timer()
-        idle = self.idle.get(exchange.host)
-        while idle:
-            connection = idle.pop()  # the most recently used, so that the others reach the idle limit
-            self.idle_by_age.pop(connection, None)
+        self._assign_connection(exchange)
+
+    def _assign_connection(self, exchange: Exchange) -> None:
+        connection = self._take_idle(exchange.host)
+        if connection is None:
+            self._open_connection(exchange)
+            return
+        wait_s = connection.settled_at - time.monotonic()
+        if wait_s <= 0:
+            self._prepare_and_start(connection, exchange)
+        else:
+            timer = asyncio.get_running_loop().call_later(wait_s, self._on_settled, connection)
+            self._reserved[connection] = Reservation(exchange, timer)
+
+    def _take_idle(self, host: str) -> Connection | None:
+        """Take an idle connection that is usable: of those that are settled the most recently used, so that the others
+        reach the idle limit, else the one that is settled first."""
+        while idle := self.idle.get(host):
+            now = time.monotonic()
+            settled = (connection for connection in reversed(idle) if connection.settled_at <= now)
+            connection = next(settled, None) or min(idle, key=lambda unsettled: unsettled.settled_at)
+            self._remove_idle(connection)
             if connection.usable:
-                self._prepare_and_start(connection, exchange)
-                return
+                return connection
             connection.abort()
+        return None
+
+    def _on_settled(self, connection: Connection) -> None:
+        """Start the exchange that a connection was reserved for; if it is not usable, ``untrack`` assigns another."""
+        if not connection.usable:
+            connection.abort()
+            return
+        exchange = self._reserved.pop(connection).exchange
+        if exchange.ended:
+            self.keep_or_close(connection)
+        else:
+            self._prepare_and_start(connection, exchange)
+
+    def _open_connection(self, exchange: Exchange) -> None:
+        loop = asyncio.get_running_loop()
         address = self.addresses.get(exchange.host)
         if address is None:
             loop.call_soon(exchange.end, Outcome(io.Status.ABANDONED))
@@ -126,6 +168,7 @@
             exchange.start_timer()
         await loop.create_connection(lambda: connection, sock=sock)
         if exchange is None:
+            connection.answered_at = time.monotonic()  # when its last answer came is not handed over
             self.keep_or_close(connection)
 
     async def _connect(self, exchange: Exchange, address: Address) -> None:
@@ -205,11 +248,19 @@
     def untrack(self, connection: Connection) -> None:
         self.open.discard(connection)
         if connection in self.idle_by_age:
-            del self.idle_by_age[connection]
-            idle = self.idle[connection.host]
-            idle.remove(connection)
-            if not idle:
-                del self.idle[connection.host]
+            self._remove_idle(connection)
+        reservation = self._reserved.pop(connection, None)
+        if reservation is not None:
+            reservation.timer.cancel()
+            if not reservation.exchange.ended:
+                self._assign_connection(reservation.exchange)
+
+    def _remove_idle(self, connection: Connection) -> None:
+        del self.idle_by_age[connection]
+        idle = self.idle[connection.host]
+        idle.remove(connection)
+        if not idle:
+            del self.idle[connection.host]
 
     def close_idle(self, host: str) -> None:
         for connection in list(self.idle.get(host, ())):
@@ -219,6 +270,9 @@
         """Close all connections; calls in flight on them get no outcome."""
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
+        for reservation in self._reserved.values():
+            reservation.timer.cancel()
+        self._reserved.clear()
         for task in self.opening:
             task.cancel()
         for connection in list(self.open):
--- a/garnetrelay/rehearsal/partners/endpoints.py
+++ b/garnetrelay/rehearsal/partners/endpoints.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import itertools
 from collections.abc import Callable
 
@@ -18,6 +17,7 @@
 
 SECOND = 1_000_000_000
 ANSWER_LOSS_WINDOW_NS = SECOND  # an answer may be lost if its connection ends within this time after it
+MAX_COPY_DELAY_S = 0.01  # beyond the drawn time
 INVALID_LOAD_HEADERS = (
     "X-Server-Load: x0=-7,x1=1e300",
     "X-Server-Load: x0=nan,x1=nan",
@@ -171,10 +171,12 @@
         call.raw(answer)
         delay = self.partner.second_copy_delay(self.route)
         if delay is not None:
-            self.partners.call_later(delay, self._write_copy, call, answer)
+            due = asyncio.get_running_loop().time() + delay
+            self.partners.call_at(due, self._write_copy, call, answer, due)
 
-    def _write_copy(self, call: Call, answer: bytes) -> None:
-        if call.connection.lost:
+    def _write_copy(self, call: Call, answer: bytes, due: float) -> None:
+        """Write a second copy, but not one that a busy machine has held up: the scenario limits how late it may be."""
+        if call.connection.lost or asyncio.get_running_loop().time() > due + MAX_COPY_DELAY_S:
             return
         at, since = self.partners.observer.action_time()
         self.partners.observer.record(ev.AnswerRepeated(at, since, call.number, self.relay, self.route))
@@ -273,18 +275,15 @@
                 # The queued call may have arrived through another relay's listener.
                 self.schedule_reply(self._find_listener(listener.route, following.call) or listener, following)
 
-        self._call_at(self.observer.clock.loop_time(scheduled.at), finish)
+        self.call_at(self.observer.clock.loop_time(scheduled.at), finish)
 
-    def call_later(self, delay_s: float, function: Callable[..., None], *arguments: object) -> None:
-        """Call a function later, unless the run ends before."""
-        self._call_at(asyncio.get_running_loop().time() + delay_s, functools.partial(function, *arguments))
-
-    def _call_at(self, when: float, function: Callable[[], None]) -> None:
+    def call_at(self, when: float, function: Callable[..., None], *arguments: object) -> None:
+        """Call a function at a time of the loop, unless the run ends before."""
         handle: asyncio.TimerHandle
 
         def run() -> None:
             self._timers.discard(handle)
-            function()
+            function(*arguments)
 
         handle = asyncio.get_running_loop().call_at(when, run)
         self._timers.add(handle)
--- a/starlingwick/control.py
+++ b/starlingwick/control.py
@@ -43,6 +43,7 @@
 OUTAGE_FAILURE_SHARE = 0.5  # the rules define an outage as most calls failing
 MEAN_WEIGHT = 0.1  # of the newest response time
 OVERDUE_FACTOR = 4  # times the mean response time; few calls of a skewed distribution take so long
+MIN_OVERDUE_NS = SECOND // 10  # longer than a call may wait for its connection to settle behind the last answer
 STALLED_FACTOR = 4  # times the overdue time; if later calls are answered, the connection is stalled by then
 CONNECTION_RETRY_NS = SECOND  # after a full connection table, before one more connection is tried
 SPENT_SHARE = 0.1  # of a limit; reports are noisy, so with less left the next call may well be refused
@@ -805,7 +806,8 @@
                 self.actions.append(io.Cancel(m.name, m.attempts - 1))
 
     def overdue_after(self, dest: Destination) -> int:
-        return round(OVERDUE_FACTOR * dest.mean_time) or self.min_aim
+        """How long after its start a call is overdue."""
+        return max(MIN_OVERDUE_NS, round(OVERDUE_FACTOR * dest.mean_time)) if dest.mean_time else self.min_aim
 
     def count_overdue_calls(self) -> None:
         """Count a call that takes much longer than the mean as a failure, once, since an unresponsive host
--- /dev/null
+++ b/tests/delivery/test_connections.py
@@ -0,0 +1,108 @@
+"""Connections to hosts: when another request may be written behind an answer."""
+
+from __future__ import annotations
+
+import logging
+
+import pytest
+
+from garnetrelay.delivery.http import connection as host_connection
+from garnetrelay.rehearsal.http import Call
+from garnetrelay.relay import Relay
+from starlingwick import interface as io
+from tests.sockets import Client, Field, until
+
+NEVER_SETTLED_S = 3600.0
+
+
+async def answered_call(field: Field, client: Client, ref: str, status: int = 200) -> Call:
+    """Deliver a message on the connection that the host has kept; the connection is idle then."""
+    await client.enqueue(ref, "unsafe")
+    call = await field.host.next_call()
+    call.answer(status)
+    await until(lambda: any(field.relays[0].hosts.idle.values()))
+    return call
+
+
+def verdicts(relay: Relay) -> list[io.Status]:
+    """The statuses of all verdicts from now on."""
+    found: list[io.Status] = []
+    post = relay.post
+
+    def watched(event: io.Event) -> None:
+        if isinstance(event, io.Verdict):
+            found.append(event.status)
+        post(event)
+
+    relay.post = watched  # type: ignore[method-assign]
+    return found
+
+
+@pytest.mark.parametrize("status", [200, 503])
+async def test_a_second_copy_of_an_answer_is_not_taken_for_the_answer_to_the_next_call(
+    field: Field, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, status: int
+) -> None:
+    """The next call was written at once: with the copy it counted as delivered, or as refused and was sent again."""
+    client = await field.start()
+    await field.warm(client)
+    first = await answered_call(field, client, "m1")
+    monkeypatch.setattr(host_connection, "SETTLE_S", NEVER_SETTLED_S)
+    with caplog.at_level(logging.INFO):
+        await client.enqueue("m2", "unsafe")
+        first.answer(status)  # the second copy
+        second = await field.host.next_call()
+    assert second.headers["x-request-id"] == "m2" and second.connection != first.connection
+    assert "s-1 sent bytes without a request" in caplog.text
+    assert "m2" in field.relays[0].pending
+    second.answer(200)
+    await until(lambda: not field.relays[0].pending)
+    assert field.host.calls.empty() and field.platform.notices.empty()
+
+
+async def test_a_call_waits_for_the_connection_that_is_settled_first(
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    client = await field.start()
+    await field.warm(client)
+    first = await answered_call(field, client, "m1")
+    monkeypatch.setattr(host_connection, "SETTLE_S", 0.2)
+    (connection,) = field.relays[0].hosts.idle["s-1"]
+    await client.enqueue("m2", "unsafe")
+    second = await field.host.next_call()
+    assert second.connection == first.connection
+    assert connection.exchange is not None and field.relays[0].hosts._reserved == {}
+    assert field.relays[0].server.now() >= connection.settled_at
+
+
+async def test_a_call_that_ends_while_it_waits_was_never_sent(field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its connection stays usable, and nothing is held against the host."""
+    client = await field.start()
+    await field.warm(client)
+    await answered_call(field, client, "m1")
+    monkeypatch.setattr(host_connection, "SETTLE_S", NEVER_SETTLED_S)
+    net = field.relays[0].hosts
+    statuses = verdicts(field.relays[0])
+    await client.enqueue("m2", "unsafe", d=300)
+    await until(lambda: len(net._reserved) == 1)
+    assert (await field.platform.next_notice())["ref"] == "m2"
+    assert statuses == [io.Status.ABANDONED]
+    (connection,) = net._reserved
+    net._on_settled(connection)
+    assert net.idle["s-1"][0] is connection and field.host.calls.empty()
+
+
+async def test_a_settled_connection_is_taken_before_one_that_is_not(
+    field: Field, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    client = await field.start()
+    await field.warm(client)
+    net = field.relays[0].hosts
+    for ref in ("m1", "m2"):
+        await client.enqueue(ref, "unsafe")
+    for call in [await field.host.next_call(), await field.host.next_call()]:
+        call.answer(200)
+    await until(lambda: len(net.idle.get("s-1", ())) == 2)
+    monkeypatch.setattr(host_connection, "SETTLE_S", NEVER_SETTLED_S)
+    older, newer = net.idle["s-1"]
+    older.answered_at -= NEVER_SETTLED_S
+    assert net._take_idle("s-1") is older and net._take_idle("s-1") is newer
--- a/tests/rehearsal/faults.py
+++ b/tests/rehearsal/faults.py
@@ -149,6 +149,11 @@
     replaced(connection.Connection, "_partial_outcome", make)
 
 
+def second_copies_not_awaited() -> None:
+    """A request is written right behind an answer: a second copy of that is taken for the answer to the request."""
+    connection.SETTLE_S = 0.0
+
+
 def attempts_not_recorded() -> None:
     """The journal is not told of an attempt before it goes out."""
     store.Store.record_attempt = lambda self, ref, zone, now_ms, epoch=None: ref in self.entries  # type: ignore[method-assign]
@@ -279,6 +284,7 @@
         2, ("sent-again", "after-window", "other-building", "effect-twice"), "failing", error_taken_for_refusal
     ),
     "reset-taken-for-unsent": Fault(2, ("sent-again", "effect-twice"), "resets", reset_taken_for_unsent),
+    "second-copies-not-awaited": Fault(1, ("lost",), "copies", second_copies_not_awaited),
     "attempts-not-recorded": Fault(2, ("sent-again", "effect-twice"), "killed", attempts_not_recorded),
     "failure-told-as-refusal": Fault(2, ("refused-may-have-run",), "failing", failure_told_as_refusal),
     "window-misread": Fault(2, ("after-window", "effect-twice"), "failing", with_classes(repeat_window=60 * SECOND)),
--- a/tests/rehearsal/test_played.py
+++ b/tests/rehearsal/test_played.py
@@ -16,7 +16,13 @@
 from tests.rehearsal import planted
 from tests.rehearsal.faults import FAULTS
 
-INJECTED = ("attempts-not-recorded", "drain-not-understood", "waits-halved", "calls-left-behind")
+INJECTED = (
+    "attempts-not-recorded",
+    "drain-not-understood",
+    "waits-halved",
+    "calls-left-behind",
+    "second-copies-not-awaited",
+)
 TASKS: list[tuple[str, int, str | None]] = [(FAULTS[name].scenario, 3, name) for name in INJECTED]
 
 
@@ -36,6 +42,14 @@
     assert found and all(verdict.relay.startswith("relay") and len(verdict.proof) >= 2 for verdict in found)
 
 
+def test_second_copies_of_answers_break_no_rule() -> None:
+    """A copy that came behind the next request on its connection was taken for the answer to it: a message that the
+    partner had refused counted as delivered, and one that had run was sent again."""
+    loaded = planted.load("copies")
+    outcome = conductor.play(loaded, plan.make(loaded, 3))
+    assert outcome.kept, outcome.verdicts
+
+
 def test_upgrades_under_load_break_no_rule() -> None:
     loaded = planted.load("upgraded")
     outcome = conductor.play(loaded, plan.make(loaded, 5))
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -6,6 +6,7 @@
 import copy
 import json
 import socket
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -159,11 +160,14 @@
             reserved.close()
 
     async def warm(self, client: Client) -> None:
-        """Deliver two messages: after the first call alone, the Pacer closes the host's connection again."""
+        """Deliver two messages: after the first call alone, the Pacer closes the host's connection again. The next call
+        may be written at once."""
+        relay = self.relays[0]
         for n in range(2):
             await client.enqueue(f"warm{n}")
             (await self.host.next_call()).answer(200)
-            await until(lambda: not self.relays[0].pending)
+            await until(lambda: not relay.pending)
+        await until(lambda: all(time.monotonic() >= connection.settled_at for connection in relay.hosts.open))
 
 
 async def until(condition: Callable[[], bool]) -> None:
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from garnetrelay.delivery.http.connection import SETTLE_S
 from starlingwick import interface as io
 from starlingwick.control import CEILING_CUT_FACTOR, SUSPECT_FAILURE_SHARE
 from tests.helpers import MS, ORDERED, UNSAFE, Relay, S, entry
@@ -281,6 +282,20 @@
     assert relay.sends() and len(dest.calls) == 2
 
 
+def test_a_call_to_a_fast_host_is_not_overdue_while_it_waits_for_its_connection() -> None:
+    """Four times the mean response time of a fast host is less than a connection rests behind an answer."""
+    relay = Relay(entry("a"))
+    for _ in range(20):
+        relay.tick(relay.message(), after=S)
+        relay.tick(relay.verdict(relay.sends()[0].call, io.Status.OK, cost=2 * MS), after=2 * MS)
+    dest = relay.pacer.routes[1][0]
+    relay.tick(relay.message(), after=S)
+    relay.tick(after=round(SETTLE_S * S) + 40 * MS)
+    assert dest.failure_share == 0 and len(dest.calls) == 1
+    relay.tick(after=20 * MS)
+    assert dest.failure_share > SUSPECT_FAILURE_SHARE  # a host that does not answer is still noticed soon
+
+
 def test_slots_go_first_to_destinations_where_calls_do_not_queue() -> None:
     """Messages for a slow destination were as urgent as others and occupied slots only to wait there."""
     relay = Relay(*[entry(name, dest=dest, rate=20.0) for dest, name in enumerate("abc", 1)], slots=4, listed_rates=True)
