Notices acknowledged by a second copy of an answer are sent again

A second copy of a 204 that comes behind the next POST of notices acknowledges that POST. If its true answer is a refusal, that was ignored (nothing was out), or taken for the answer to a third POST, and the notices of the second were lost.

Change: a connection remembers what it acknowledged in the last second (MAX_ANSWER_TIMEOUT_S). When it brings an answer without a POST, or a refusal, these notices are sent again; behind an answer too many it is closed. Bound: a kill before the repeat.

--- a/garnetrelay/platform/notices.py
+++ b/garnetrelay/platform/notices.py
@@ -9,7 +9,9 @@
 import asyncio
 import json
 import logging
+from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import cast
 
 from garnetrelay.config.deployment import Address
@@ -31,6 +33,15 @@
 _encode = json.JSONEncoder(separators=(",", ":")).encode
 
 
+@dataclass(slots=True, frozen=True)
+class AcknowledgedNotice:
+    """A notice whose acknowledgement may have been a second copy of an earlier one."""
+
+    ref: str
+    line: bytes  # as it was posted
+    at: float  # when it was acknowledged, by the loop's clock
+
+
 class Link(asyncio.Protocol):
     """A connection to the platform, and the unanswered POST on it."""
 
@@ -39,6 +50,7 @@
         self.address = address
         self.reader = AnswerReader()
         self.unacknowledged: list[str] = []  # the refs in that POST
+        self.acknowledged: deque[AcknowledgedNotice] = deque()  # in the last MAX_ANSWER_TIMEOUT_S
         self.expiry: asyncio.TimerHandle | None = None  # of an older link: when it stops waiting for its answer
         self.transport: asyncio.Transport | None = None
 
@@ -48,6 +60,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; report an answer once it is complete or malformed (status 0)."""
+        if not self.unacknowledged:
+            self.notices.on_surplus(self)
+            return
         self.reader.feed(data)
         if self.reader.complete or self.reader.broken:
             self.notices.on_answer(self, self.reader.status if self.reader.complete else 0, self.reader.keep)
@@ -63,6 +78,13 @@
         if self.transport is not None:
             self.transport.write(request)
 
+    def remember(self, ref: str, line: bytes) -> None:
+        """Keep an acknowledged notice for as long as the true answer to it may take."""
+        now = asyncio.get_running_loop().time()
+        self.acknowledged.append(AcknowledgedNotice(ref, line, now))
+        while self.acknowledged[0].at < now - MAX_ANSWER_TIMEOUT_S:
+            self.acknowledged.popleft()
+
     def abort(self) -> None:
         """Abort the connection; anything still received on it is not parsed."""
         if self.expiry is not None:
@@ -224,6 +246,7 @@
             self.one_at_a_time = True
             self._stop_timer()
         elif is_current:
+            self._requeue(link)  # this may be the answer to an earlier POST, whose own was a second copy
             self._on_failure(f"answered {status}" if status else "malformed answer")
             return
         if not is_current:
@@ -233,6 +256,22 @@
         if is_current:
             self.send()
 
+    def on_surplus(self, link: Link) -> None:
+        """A link has received more answers than POSTs were written: one of them was a second copy of another, so the
+        notices that it acknowledged are sent again. A notice for a message that is over does no harm."""
+        if link.acknowledged:
+            log.warning("notices: an answer without a POST, %d are sent again", len(link.acknowledged))
+        self._requeue(link)
+        if link is self.link:
+            self.link = None
+        link.abort()
+        self.send()
+
+    def _requeue(self, link: Link) -> None:
+        for notice in link.acknowledged:
+            self.queue.setdefault(notice.ref, notice.line)
+        link.acknowledged.clear()
+
     def _acknowledge(self, link: Link, refs: list[str], status: int) -> None:
         self.one_at_a_time, self.backoff_s, self.answer_timeout_s = False, MIN_BACKOFF_S, ANSWER_TIMEOUT_S
         self._use_previous_address = False
@@ -242,10 +281,13 @@
             self._stop_timer()
         for ref in refs:
             notice = self.queue.pop(ref, None)  # None: acknowledged by an answer on another link
-            if notice is not None and status == 400:
+            if notice is None:
+                continue
+            if status == 400:
                 log.error("the platform rejected this notice with 400, it is discarded: %s", notice)
-            if notice is not None:
-                self.on_acknowledged(ref)
+            else:
+                link.remember(ref, notice)
+            self.on_acknowledged(ref)
 
     def on_lost(self, link: Link) -> None:
         """A link is closed. If a POST was unanswered on it, its notices are sent again."""
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -174,3 +174,33 @@
     notices.close()
     for platform in (old, new):
         await platform.stop()
+
+
+@pytest.mark.parametrize("next_post", [False, True], ids=["idle", "another POST is out"])
+async def test_a_second_copy_of_an_acknowledgement_does_not_lose_a_notice_that_was_refused(next_post: bool) -> None:
+    """The copy acknowledged the next POST, and the refusal that was its answer was ignored, or counted for a third."""
+    platform = Posts()
+    notices, acknowledged = await with_notices(platform)
+    notices.add("m1", "dead", 0)
+    notices.send()
+    first = await platform.next_call()
+    first.answer(204)
+    await until(lambda: acknowledged == ["m1"])
+    notices.add("m2", "dead", 0)
+    notices.send()
+    second = await platform.next_call()
+    assert second.connection == first.connection
+    first.answer(204)  # the second copy
+    await until(lambda: acknowledged == ["m1", "m2"])
+    if next_post:
+        notices.add("m3", "dead", 0)
+        notices.send()
+        await platform.next_call()
+    second.answer(503)
+    again = await platform.next_call()
+    assert again.connection != second.connection
+    assert [ref for ref in (b"m1", b"m2", b"m3") if ref in again.body] == [b"m1", b"m2", b"m3"][: 2 + next_post]
+    again.answer(204)
+    await until(lambda: not notices.queue)
+    notices.close()
+    await platform.stop()
