--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from typing import Any, cast
 
+from garnetrelay.fronts.resp.client_error_log import ClientErrorLog
 from garnetrelay.fronts.resp.commands import CommandReader, ProtocolError
 from garnetrelay.fronts.resp.request_memory import RequestMemory
 from garnetrelay.fronts.resp.requests import RejectedError, parse_enqueue
@@ -31,7 +32,6 @@
 EMPTY_QUEUE_CHECKS, EMPTY_QUEUE_CHECK_GAP_S = 5, 0.01  # checks of the listen queue before the listener closes
 ACCEPT_TICKS = 3  # ticks from accept to connection_made: a task's first step, then the callbacks that it schedules
 TCP_INFO_LAST_DATA = struct.Struct("=52xI")  # tcpi_last_data_recv: milliseconds since the kernel received data
-MAX_CLIENT_LOGS_PER_S = 10  # log lines about what clients send
 MAX_UNREAD_ANSWER_BYTES = 16 * 1024  # of a client that does not read its answers: no further command is handled
 
 
@@ -410,8 +410,7 @@
         self.ended = False  # the server reads nothing more
         self.on_closed: Callable[[], None] | None = None  # called when a connection or the listener has closed
         self.now: Callable[[], float] = asyncio.get_running_loop().time
-        self._log_times: deque[float] = deque(maxlen=MAX_CLIENT_LOGS_PER_S)
-        self._suppressed_logs = 0
+        self._client_errors = ClientErrorLog(log)
         self._server: asyncio.Server | None = None
         self._accepting: set[asyncio.Task[Any]] = set()
 
@@ -583,14 +582,5 @@
             self.on_closed()
 
     def log_client_error(self, text: str) -> None:
-        """Log a client's error at a limited rate, so that a client that sends malformed data at full speed does not
-        flood the log."""
-        now = self.now()
-        if len(self._log_times) == MAX_CLIENT_LOGS_PER_S and self._log_times[0] > now - 1:
-            self._suppressed_logs += 1
-            return
-        if self._suppressed_logs:
-            text += f" ({self._suppressed_logs} more like this not logged)"
-            self._suppressed_logs = 0
-        self._log_times.append(now)
-        log.info("%s", text)
+        """Log a client's error, at a limited rate."""
+        self._client_errors.add(self.now(), text)
