fronts/resp: the listening socket in a module of its own

Need: server.py had two jobs, clients' connections and how the listening socket opens, drains, passes to another process and closes. Change: listener.py has the latter, with the same steps; Server holds one. Tests name the listener's methods where they are now, and nothing else changes in them.

--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -4,16 +4,16 @@
 
 import asyncio
 import logging
-import os
 import select
 import socket
 import struct
 from collections import deque
 from collections.abc import Callable
-from typing import Any, cast
+from typing import cast
 
 from garnetrelay.fronts.resp.client_error_log import ClientErrorLog
 from garnetrelay.fronts.resp.commands import CommandReader, ProtocolError
+from garnetrelay.fronts.resp.listener import Listener
 from garnetrelay.fronts.resp.request_memory import RequestMemory
 from garnetrelay.fronts.resp.requests import RejectedError, parse_enqueue
 from garnetrelay.fronts.resp.requests import Request as Request
@@ -26,11 +26,8 @@
 MIN_IDLE_WITHOUT_COMMAND_S = 0.1  # the same before the first command: usual clients send one as soon as they connect
 LINGER_S = 1.0  # time without a received byte in which a rejected client may still read the reason
 MAX_LINGER_S = 5.0  # for a rejected client that goes on sending
-ACCEPT_BATCH = 4  # connections accepted per tick of the loop: each already takes a descriptor
 MAX_REJECTED_CONNECTIONS = 16  # connections over the limit that stay open until the client has read the rejection
 LAST_ANSWER_READ_S = 0.25  # time for a client to read its last answer: it waits at most 0.4 s for one
-EMPTY_QUEUE_CHECKS, EMPTY_QUEUE_CHECK_GAP_S = 5, 0.01  # checks of the listen queue before the listener closes
-ACCEPT_TICKS = 3  # ticks from accept to connection_made: a task's first step, then the callbacks that it schedules
 TCP_INFO_LAST_DATA = struct.Struct("=52xI")  # tcpi_last_data_recv: milliseconds since the kernel received data
 MAX_UNREAD_ANSWER_BYTES = 16 * 1024  # of a client that does not read its answers: no further command is handled
 
@@ -411,40 +408,22 @@
         self.on_closed: Callable[[], None] | None = None  # called when a connection or the listener has closed
         self.now: Callable[[], float] = asyncio.get_running_loop().time
         self._client_errors = ClientErrorLog(log)
-        self._server: asyncio.Server | None = None
-        self._accepting: set[asyncio.Task[Any]] = set()
+        self.listener = Listener(lambda: Connection(self), self._report_closed)
 
     async def start(self, host: str, port: int, shared: bool = False) -> tuple[str, int]:
         """Start listening; returns the bound address. ``shared``: another process may listen on the same address."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: Connection(self), host, port, backlog=ACCEPT_BATCH, reuse_port=shared or None
-        )
-        return self._listening()
+        await self.listener.open(host, port, shared)
+        return self._on_listening()
 
-    async def listen(self, listener: socket.socket) -> tuple[str, int]:
+    async def listen(self, listening: socket.socket) -> tuple[str, int]:
         """The same on an existing listening socket."""
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: Connection(self), sock=listener, backlog=ACCEPT_BATCH
-        )
-        return self._listening()
-
-    async def stop_listening(self) -> socket.socket:
-        """Accept no more connections. Returns a copy of the listening socket, whose queue keeps filling; those accepted
-        so far are in ``connections``."""
-        assert self._server is not None
-        listener = socket.socket(fileno=os.dup(self._server.sockets[0].fileno()))
-        self._stop_accepting()
-        for _ in range(ACCEPT_TICKS):
-            await asyncio.sleep(0)
-        self._server.close()
-        return listener
-
-    def _stop_accepting(self) -> None:
-        """Stop accepting, but leave the asyncio server open: asyncio makes the transport of an accepted socket in a
-        later tick, and cannot once its server is closed. Nothing would then answer or close that connection."""
-        assert self._server is not None
-        asyncio.get_running_loop().remove_reader(self._server.sockets[0].fileno())
+        await self.listener.open_existing(listening)
+        return self._on_listening()
+
+    def _on_listening(self) -> tuple[str, int]:
+        if self.draining:  # drain() was called before there was a listener
+            self.listener.close_when_queue_empty()
+        return self.listener.address
 
     def connections_to_hand_over(self) -> list[Connection]:
         """The connections that can be handed over to another process. The others close once their answers are written."""
@@ -457,76 +436,25 @@
         """Take over a connection from another process."""
         await asyncio.get_running_loop().connect_accepted_socket(lambda: Connection(self, (raw, has_sent_command)), sock)
 
-    def _listening(self) -> tuple[str, int]:
-        assert self._server is not None
-        with self._server.sockets[0].dup() as listening:
-            listening.listen(512)  # the queue may be longer than one accept batch
-        name = self._server.sockets[0].getsockname()
-        if self.draining:  # drain() was called before there was a listener
-            self._stop_when_queue_empty(EMPTY_QUEUE_CHECKS)
-        return str(name[0]), int(name[1])
-
     def drain(self) -> None:
         """Stop accepting once the listen queue is empty; close each open connection as soon as it is between requests."""
         self.draining = True
-        self._stop_when_queue_empty(EMPTY_QUEUE_CHECKS)
+        self.listener.close_when_queue_empty()
         for connection in list(self.connections):
             connection.close_between_requests()
 
     def end(self) -> None:
         """Called just before the process ends: stop reading and accepting, and let clients read their answers."""
         self.ended = True
-        if self.listening:
-            self._stop_accepting()
-            self._close_after_ticks(ACCEPT_TICKS)
+        self.listener.end()
         for connection in list(self.connections):
             connection.end()
 
-    def _stop_when_queue_empty(self, checks: int) -> None:
-        """Close the listener once its queue is empty: closing it earlier would reset the queued connections and lose
-        their requests. ``checks``: how many more checks must find it empty, since a client may know of its connection
-        before the queue shows it."""
-        if self._server is None or not self._server.sockets:
-            return
-        poll = select.poll()
-        poll.register(self._server.sockets[0].fileno(), select.POLLIN)
-        checks = EMPTY_QUEUE_CHECKS if poll.poll(0) else checks - 1
-        if checks:
-            asyncio.get_running_loop().call_later(EMPTY_QUEUE_CHECK_GAP_S, self._stop_when_queue_empty, checks)
-            return
-        self._stop_accepting()
-        self._close_after_ticks(ACCEPT_TICKS)
-
-    def _close_after_ticks(self, ticks: int) -> None:
-        """Close the listener this many ticks after the last accepted connection."""
-        if self._server is None or not self._server.sockets:
-            return
-        loop = asyncio.get_running_loop()
-        # Not a duplicate of the socket: descriptors may be exhausted.
-        listening = socket.socket(fileno=self._server.sockets[0].fileno())
-        try:
-            listening.setblocking(False)
-            for _ in range(0 if self.ended else ACCEPT_BATCH):
-                sock, _ = listening.accept()
-                task = loop.create_task(loop.connect_accepted_socket(lambda: Connection(self), sock))
-                self._accepting.add(task)
-                task.add_done_callback(self._accepting.discard)
-                ticks = ACCEPT_TICKS
-        except OSError:
-            pass  # the queue is empty
-        finally:
-            listening.detach()
-        if ticks:
-            loop.call_soon(self._close_after_ticks, ticks - 1)
-            return
-        self._server.close()
+    def _report_closed(self) -> None:
+        """A connection or the listener has closed."""
         if self.on_closed is not None:
             self.on_closed()
 
-    @property
-    def listening(self) -> bool:
-        return self._server is not None and bool(self._server.sockets)
-
     def admit(self) -> bool | None:
         """Whether one more connection may be opened. None: there is no descriptor even for sending a rejection."""
         if self.remaining_capacity() > 0 or self.close_longest_idle() or self.free_descriptor():
@@ -578,8 +506,7 @@
         self.memory.set_incomplete(connection, 0)
         self.mark_busy(connection)
         self.lingering.pop(connection, None)
-        if self.on_closed is not None:
-            self.on_closed()
+        self._report_closed()
 
     def log_client_error(self, text: str) -> None:
         """Log a client's error, at a limited rate."""
--- a/garnetrelay/handover/sender.py
+++ b/garnetrelay/handover/sender.py
@@ -166,7 +166,7 @@
         handed over; those that do not get there in time are given up."""
         relay = self.relay
         relay.post(io.Stopping(time.monotonic_ns()))
-        listener = await relay.server.stop_listening()
+        listener = await relay.server.listener.detach()
         end = time.monotonic() + QUIESCE_TIMEOUT_S
         await asyncio.sleep(0)
         while self._is_busy() and time.monotonic() < end or relay.sync_worker is not None and relay.sync_worker.running:
--- a/garnetrelay/shutdown.py
+++ b/garnetrelay/shutdown.py
@@ -103,6 +103,6 @@
             or self.inbox
             or self.new_requests
             or self.server.connections
-            or self.server.listening
+            or self.server.listener.listening
         ):
             self.finished.set()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,6 +22,7 @@
 from garnetrelay.discovery import host_list, watches
 from garnetrelay.discovery.host_list import ObjectSplitter, UnreadableListError
 from garnetrelay.fronts.resp import server as resp_server
+from garnetrelay.fronts.resp.listener import ACCEPT_TICKS
 from garnetrelay.handover.channel import HandoverSocket
 from garnetrelay.handover.protocol import VERSION, Hello
 from garnetrelay.platform import notices
@@ -241,15 +242,14 @@
         async with asyncio.timeout(PATIENCE):
             assert await asyncio.get_running_loop().sock_recv(one, 100) == b"+OK\r\n"
         one.close()
-    await until(lambda: not relay.server.connections and not relay.server.listening)
+    await until(lambda: not relay.server.connections and not relay.server.listener.listening)
 
 
 def wait_until_queued(server: resp_server.Server) -> None:
     """Block until a connection is in the listen queue, since its client may know of it a moment sooner. No tick of the
     loop runs meanwhile, so it is not accepted yet."""
-    assert server._server is not None
     end = time.monotonic() + PATIENCE
-    while not readable(server._server.sockets[0]):
+    while not readable(server.listener.listening_socket):
         assert time.monotonic() < end
 
 
@@ -263,11 +263,11 @@
     client.sendall(enqueue("m1"))
     wait_until_queued(relay.server)
     loop = asyncio.get_running_loop()
-    loop.call_at(loop.time(), relay.server._stop_when_queue_empty, 1)  # a tick reads sockets before timers
+    loop.call_at(loop.time(), relay.server.listener.close_when_queue_empty, 1)  # a tick reads sockets before timers
     client.setblocking(False)
     async with asyncio.timeout(PATIENCE):
         assert await loop.sock_recv(client, 100) == b"+OK\r\n"
-    await until(lambda: not relay.server.listening)
+    await until(lambda: not relay.server.listener.listening)
     client.close()
     first.writer.close()
 
@@ -277,12 +277,12 @@
     first = await field.start()  # kept referenced: the connection closes when collected
     server = field.relays[0].server
     await until(lambda: len(server.connections) == 1)
-    server._stop_accepting()
+    server.listener.stop_accepting()
     client = socket.create_connection(("127.0.0.1", field.port))
     client.sendall(enqueue("m1"))
     wait_until_queued(server)
-    server._close_after_ticks(resp_server.ACCEPT_TICKS)
-    await until(lambda: not server.listening)
+    server.listener.close_after_ticks(ACCEPT_TICKS)
+    await until(lambda: not server.listener.listening)
     client.setblocking(False)
     async with asyncio.timeout(PATIENCE):
         assert await asyncio.get_running_loop().sock_recv(client, 100) == b"+OK\r\n"
@@ -319,7 +319,7 @@
     handed_over: asyncio.Future[list[resp_server.Connection]] = loop.create_future()
 
     async def hand_over() -> None:
-        listener = await server.stop_listening()
+        listener = await server.listener.detach()
         listener.close()
         handed_over.set_result(server.connections_to_hand_over())
 
@@ -527,7 +527,7 @@
     monkeypatch.setattr(Relay, "_recover", stop_during_recovery)
     await Relay(field.config()).start()
     (relay,) = field.relays
-    await until(lambda: not relay.server.listening)
+    await until(lambda: not relay.server.listener.listening)
     await asyncio.wait_for(relay.finished.wait(), PATIENCE)
 
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -18,6 +18,7 @@
 
 from garnetrelay.config.deployment import OPERATOR_DESCRIPTORS, RESERVED_DESCRIPTORS
 from garnetrelay.fronts.resp import server as resp_server
+from garnetrelay.fronts.resp.listener import ACCEPT_TICKS
 from garnetrelay.operators.listener import MAX_CONNECTIONS
 from garnetrelay.rehearsal.scripted_peers import PATIENCE
 from garnetrelay.relay import Relay
@@ -98,12 +99,12 @@
     before = descriptors()
     await field.start()
     server = field.relays[0].server
-    server._stop_accepting()  # as after the last check that found the queue empty
+    server.listener.stop_accepting()  # as after the last check that found the queue empty
     burst = connect_at_once(field.port, BURST)
     others = before + len(burst) + 1
     most = 0
-    server._close_after_ticks(resp_server.ACCEPT_TICKS)
-    while server.listening:
+    server.listener.close_after_ticks(ACCEPT_TICKS)
+    while server.listener.listening:
         await asyncio.sleep(0)
         most = max(most, descriptors() - others)
     assert most <= SOCKETS
@@ -194,7 +195,7 @@
     relay.server.now = lambda: now
     while connection in relay.server.connections:
         assert relay.server.close_longest_idle()
-    for _ in range(resp_server.ACCEPT_TICKS):
+    for _ in range(ACCEPT_TICKS):
         await asyncio.sleep(0)
     assert descriptors() < open_before
     client.writer.transport.abort()
