Test: a connection from another process rests before its first call

Need: the handover's path of the rest behind an answer had no test. Change: one test, on a socket that Hosts.adopt takes over. Measured: passes; with answered_at left at its initial value in adopt the condition does not hold (settled_at is 0 then).

--- a/tests/delivery/test_connections.py
+++ b/tests/delivery/test_connections.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+import socket
+import time
 
 import pytest
 
@@ -106,3 +108,16 @@
     older, newer = net.idle["s-1"]
     older.answered_at -= NEVER_SETTLED_S
     assert net._take_idle("s-1") is older and net._take_idle("s-1") is newer
+
+
+async def test_a_connection_from_another_process_rests_before_its_first_call_here(field: Field) -> None:
+    """When its last answer came is not handed over: a second copy of it may still be on its way."""
+    await field.start()
+    net = field.relays[0].hosts
+    address = net.addresses["s-1"]
+    handed_over = socket.create_connection((address.host, address.port))
+    handed_over.setblocking(False)
+    adopted_at = time.monotonic()
+    await net.adopt(handed_over, "s-1", address, True, None)
+    (connection,) = net.idle["s-1"]
+    assert connection.settled_at >= adopted_at + host_connection.SETTLE_S
