Connections rest longer at a host whose second copies of answers come late

Cause: behind the rest of 50 ms a copy is taken for the next answer as before.

Change: a copy that meets an idle connection tells how late that host's copies are; its connections rest for twice the longest delay seen, 250 ms at most, until the host leaves the list or the relay starts anew. A call waits 50 ms at most for a connection that rests, and opens another beyond that.

--- a/garnetrelay/delivery/http/connection.py
+++ b/garnetrelay/delivery/http/connection.py
@@ -14,6 +14,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import select
 import time
 from collections.abc import Callable
@@ -27,7 +28,6 @@
 log = logging.getLogger(__name__)
 
 SECOND = 1_000_000_000
-SETTLE_S = 0.05  # from an answer until the next request on its connection
 ANSWER_REST_TIMEOUT_S = 0.5  # for the remainder of an answer once it has begun
 
 Prepare = Callable[[Address], bytes | None]
@@ -136,6 +136,14 @@
         """A connection is closed."""
         ...
 
+    def settle_time(self, host: str) -> float:
+        """Seconds from an answer until the next request on its connection."""
+        ...
+
+    def on_unexpected_bytes(self, host: str, age_s: float) -> None:
+        """A host has sent bytes on an idle connection, so many seconds after the last answer on it."""
+        ...
+
     def close_idle(self, host: str) -> None:
         """Close the idle connections to a host."""
         ...
@@ -167,7 +175,7 @@
         self.used = False  # at least one call on it has been answered
         self.at_eof = False  # the host sends nothing more
         self.idle_since = 0.0
-        self.answered_at = -SETTLE_S  # when the last answer was complete, by the monotonic clock like ``idle_since``
+        self.answered_at = -math.inf  # when the last answer was complete, by the monotonic clock like ``idle_since``
         self.transport: asyncio.Transport | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -207,7 +215,7 @@
     @property
     def settled_at(self) -> float:
         """When another request may be written: a second copy of the last answer would have come by then."""
-        return self.answered_at + SETTLE_S
+        return self.answered_at + self.pool.settle_time(self.host)
 
     @property
     def can_hand_over(self) -> bool:
@@ -247,8 +255,9 @@
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None:
-            age_ms = (time.monotonic() - self.answered_at) * 1000
-            log.info("%s sent bytes without a request, %.1f ms after its last answer: closed", self.host, age_ms)
+            age_s = time.monotonic() - self.answered_at
+            log.info("%s sent bytes without a request, %.1f ms after its last answer: closed", self.host, age_s * 1000)
+            self.pool.on_unexpected_bytes(self.host, age_s)
             self.abort()  # these bytes could be taken for the next answer
             return
         self.reader.feed(data)
--- a/garnetrelay/delivery/http/hosts.py
+++ b/garnetrelay/delivery/http/hosts.py
@@ -25,6 +25,9 @@
 
 SECOND = 1_000_000_000
 IDLE_SHARE = 0.8  # of the host's own idle limit: a call written just as the host closes would end as a reset
+SETTLE_S = 0.05  # a connection rests for so long behind each answer, and a call waits at most so long for one that rests
+MAX_SETTLE_S = 0.25  # the rest at a host that was seen to send second copies late
+SETTLE_FACTOR = 2  # times the longest delay of a second copy
 LOCAL_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # connect errors not caused by the host
 
 
@@ -63,6 +66,7 @@
         self.idle_by_age: dict[Connection, None] = {}  # all idle connections, the longest idle first
         self.opening: set[asyncio.Task[None]] = set()
         self.calls_written = 0  # since the start of the process
+        self._settle_s: dict[str, float] = {}  # of hosts that were seen to send second copies late
         self._reserved: dict[Connection, Reservation] = {}  # connections that are not settled
         self._gathered: list[PreparedCall] | None = None
         self._expiry_timer: asyncio.TimerHandle | None = None
@@ -81,6 +85,7 @@
 
     def remove(self, host: str) -> None:
         self.addresses.pop(host, None)
+        self._settle_s.pop(host, None)
         self.close_idle(host)
 
     def gather(self) -> None:
@@ -116,17 +121,29 @@
 
     def _take_idle(self, host: str) -> Connection | None:
         """Take an idle connection that is usable: of those that are settled the most recently used, so that the others
-        reach the idle limit, else the one that is settled first."""
+        reach the idle limit, else the one that is settled first. Not one that takes longer than to open another."""
         while idle := self.idle.get(host):
             now = time.monotonic()
             settled = (connection for connection in reversed(idle) if connection.settled_at <= now)
             connection = next(settled, None) or min(idle, key=lambda unsettled: unsettled.settled_at)
+            if connection.settled_at > now + SETTLE_S:
+                return None
             self._remove_idle(connection)
             if connection.usable:
                 return connection
             connection.abort()
         return None
 
+    def settle_time(self, host: str) -> float:
+        """Seconds from an answer until the next request on its connection."""
+        return self._settle_s.get(host, SETTLE_S)
+
+    def on_unexpected_bytes(self, host: str, age_s: float) -> None:
+        """Let the connections to a host rest for longer if its second copies come late. What comes later than any rest
+        is of another kind, as the last words of a server that closes an idle connection."""
+        if age_s <= MAX_SETTLE_S:
+            self._settle_s[host] = min(MAX_SETTLE_S, max(self.settle_time(host), SETTLE_FACTOR * age_s))
+
     def _on_settled(self, connection: Connection) -> None:
         """Start the exchange that a connection was reserved for; if it is not usable, ``untrack`` assigns another."""
         if not connection.usable:
--- a/tests/delivery/test_connections.py
+++ b/tests/delivery/test_connections.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from garnetrelay.delivery.http import connection as host_connection
+from garnetrelay.delivery.http import hosts
 from garnetrelay.rehearsal.http import Call
 from garnetrelay.relay import Relay
 from starlingwick import interface as io
@@ -48,7 +48,7 @@
     client = await field.start()
     await field.warm(client)
     first = await answered_call(field, client, "m1")
-    monkeypatch.setattr(host_connection, "SETTLE_S", NEVER_SETTLED_S)
+    monkeypatch.setattr(hosts, "SETTLE_S", NEVER_SETTLED_S)
     with caplog.at_level(logging.INFO):
         await client.enqueue("m2", "unsafe")
         first.answer(status)  # the second copy
@@ -67,7 +67,7 @@
     client = await field.start()
     await field.warm(client)
     first = await answered_call(field, client, "m1")
-    monkeypatch.setattr(host_connection, "SETTLE_S", 0.2)
+    monkeypatch.setattr(hosts, "SETTLE_S", 0.2)
     (connection,) = field.relays[0].hosts.idle["s-1"]
     await client.enqueue("m2", "unsafe")
     second = await field.host.next_call()
@@ -81,7 +81,7 @@
     client = await field.start()
     await field.warm(client)
     await answered_call(field, client, "m1")
-    monkeypatch.setattr(host_connection, "SETTLE_S", NEVER_SETTLED_S)
+    monkeypatch.setattr(hosts, "SETTLE_S", NEVER_SETTLED_S)
     net = field.relays[0].hosts
     statuses = verdicts(field.relays[0])
     await client.enqueue("m2", "unsafe", d=300)
@@ -104,7 +104,7 @@
     for call in [await field.host.next_call(), await field.host.next_call()]:
         call.answer(200)
     await until(lambda: len(net.idle.get("s-1", ())) == 2)
-    monkeypatch.setattr(host_connection, "SETTLE_S", NEVER_SETTLED_S)
+    monkeypatch.setattr(hosts, "SETTLE_S", NEVER_SETTLED_S)
     older, newer = net.idle["s-1"]
     older.answered_at -= NEVER_SETTLED_S
     assert net._take_idle("s-1") is older and net._take_idle("s-1") is newer
@@ -120,4 +120,36 @@
     adopted_at = time.monotonic()
     await net.adopt(handed_over, "s-1", address, True, None)
     (connection,) = net.idle["s-1"]
-    assert connection.settled_at >= adopted_at + host_connection.SETTLE_S
+    assert connection.settled_at >= adopted_at + hosts.SETTLE_S
+
+
+async def test_connections_rest_longer_at_a_host_whose_second_copies_come_late(field: Field) -> None:
+    """Behind the next request a late copy cannot be told apart, but one that meets an idle connection tells its delay."""
+    client = await field.start()
+    await field.warm(client)
+    net = field.relays[0].hosts
+    call = await answered_call(field, client, "m1")
+    (connection,) = net.idle["s-1"]
+    connection.answered_at = time.monotonic() - 0.1
+    call.answer(200)
+    await until(lambda: not net.open)
+    assert hosts.SETTLE_FACTOR * 0.1 <= net.settle_time("s-1") <= hosts.MAX_SETTLE_S
+    net.remove("s-1")
+    rests = []
+    for age_s in (0.01, 0.1, 0.03, 5.0, 0.2):
+        net.on_unexpected_bytes("s-1", age_s)
+        rests.append(net.settle_time("s-1"))
+    assert rests == [hosts.SETTLE_S, 0.2, 0.2, 0.2, hosts.MAX_SETTLE_S] and net.settle_time("s-2") == hosts.SETTLE_S
+
+
+async def test_a_call_does_not_wait_longer_than_it_takes_to_open_another_connection(field: Field) -> None:
+    client = await field.start()
+    await field.warm(client)
+    net = field.relays[0].hosts
+    net.on_unexpected_bytes("s-1", hosts.MAX_SETTLE_S)
+    first = await answered_call(field, client, "m1")
+    (connection,) = net.idle["s-1"]
+    connection.answered_at = time.monotonic() + NEVER_SETTLED_S
+    await client.enqueue("m2", "unsafe")
+    second = await field.host.next_call()
+    assert second.connection != first.connection and connection in net.idle["s-1"]
--- a/tests/rehearsal/faults.py
+++ b/tests/rehearsal/faults.py
@@ -16,7 +16,7 @@
 from garnetrelay import __main__ as program
 from garnetrelay import daemon
 from garnetrelay import relay as core
-from garnetrelay.delivery.http import answers, connection
+from garnetrelay.delivery.http import answers, connection, hosts
 from garnetrelay.discovery import client, host_list
 from garnetrelay.fronts.resp import server
 from garnetrelay.operators import exclusions
@@ -151,7 +151,7 @@
 
 def second_copies_not_awaited() -> None:
     """A request is written right behind an answer: a second copy of that is taken for the answer to the request."""
-    connection.SETTLE_S = 0.0
+    hosts.SETTLE_S = 0.0
 
 
 def attempts_not_recorded() -> None:
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from garnetrelay.delivery.http.connection import SETTLE_S
+from garnetrelay.delivery.http.hosts import SETTLE_S
 from starlingwick import interface as io
 from starlingwick.control import CEILING_CUT_FACTOR, SUSPECT_FAILURE_SHARE
 from tests.helpers import MS, ORDERED, UNSAFE, Relay, S, entry
