Tests: the planted fault on second copies takes the learned rest away too

The planted relay rests 0 ms, but since "Connections rest longer at a host whose second copies come late" it learns each host's delay from the first copies and mends itself.

Change: the fault plants a longest rest of 0 ms as well, so that nothing is learned: it is the relay as it was. The check is as strict as before.

--- a/tests/rehearsal/faults.py
+++ b/tests/rehearsal/faults.py
@@ -151,7 +151,7 @@
 
 def second_copies_not_awaited() -> None:
     """A request is written right behind an answer: a second copy of that is taken for the answer to the request."""
-    hosts.SETTLE_S = 0.0
+    hosts.SETTLE_S = hosts.MAX_SETTLE_S = 0.0
 
 
 def attempts_not_recorded() -> None:
