--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -179,6 +179,9 @@
         self.record = record
         self.hosts = hosts
         self.late_s = late_s  # from a call for the list until its first line
+        self.listed_at: dict[
+            str, str
+        ] = {}  # by host: its address as this platform's relay sees it, if not the host's own
         self.index = 41
         self.address = ""
         self.notices: dict[str, list[tuple[float, str]]] = {}
@@ -199,7 +202,7 @@
         """One entry of the list."""
         return {
             "name": host.name,
-            "address": host.address,
+            "address": self.listed_at.get(host.name, host.address),
             "zone": host.zone,
             "type": "news-portals",
             "group": host.dest,
@@ -269,6 +272,86 @@
             writer.transport.abort()
 
 
+class Link:
+    """A network link to an address that can be cut: open connections stay open and silent, new ones don't come up."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.address = ""
+        self.whole = asyncio.Event()
+        self.whole.set()
+        self.listener = socket.socket()
+        self.fillers: list[socket.socket] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def start(self) -> None:
+        """Listen on a free port."""
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.listener.setblocking(False)
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        asyncio.get_running_loop().add_reader(self.listener, self._accept)
+
+    def cut(self) -> None:
+        """Let nothing pass. The listener's queue is filled, so that the kernel drops further attempts to connect."""
+        self.whole.clear()
+        asyncio.get_running_loop().remove_reader(self.listener)
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.listener.getsockname())
+            self.fillers.append(filler)
+
+    def mend(self) -> None:
+        """Let what was held up pass, and new connections come up."""
+        for filler in self.fillers:
+            filler.close()
+        self.fillers.clear()
+        self.whole.set()
+        asyncio.get_running_loop().add_reader(self.listener, self._accept)
+
+    def stop(self) -> None:
+        """End all connections."""
+        asyncio.get_running_loop().remove_reader(self.listener)
+        for task in list(self.tasks):
+            task.cancel()
+        for sock in (self.listener, *self.fillers):
+            sock.close()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            near, _ = self.listener.accept()
+            task = asyncio.create_task(self._carry(near))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _carry(self, near: socket.socket) -> None:
+        host, _, port = self.target.rpartition(":")
+        writers: list[asyncio.StreamWriter] = []
+        passing: list[asyncio.Task[None]] = []
+        try:
+            there, to_there = await asyncio.open_connection(host, int(port))
+            here, to_here = await asyncio.open_connection(sock=near)
+            writers += [to_there, to_here]
+            passing += [asyncio.create_task(self._pass(here, to_there)), asyncio.create_task(self._pass(there, to_here))]
+            await asyncio.wait(passing, return_when=asyncio.FIRST_COMPLETED)
+        except (OSError, asyncio.CancelledError):
+            near.close()
+        finally:
+            for task in passing:
+                task.cancel()
+            for writer in writers:
+                writer.close()
+
+    async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            while data := await reader.read(65536):
+                await self.whole.wait()
+                writer.write(data)
+                await writer.drain()
+            await self.whole.wait()
+
+
 class Client:
     """A client with one connection that it keeps; one request at a time."""
 
@@ -335,25 +418,30 @@
 class Relay:
     """One relay: its folder and addresses, and the processes that run it one after another."""
 
-    def __init__(self, record: Record, folder: Path, platform: Platform, settings: dict[str, Any]) -> None:
+    def __init__(
+        self, record: Record, folder: Path, platform: Platform, settings: dict[str, Any], name: str = "n1", at: str = ""
+    ) -> None:
         self.record = record
-        self.folder = folder
+        self.folder = folder / name
+        self.folder.mkdir()
+        self.name = name
+        self.at = at  # the platform's address as this relay sees it, if not the platform's own
         self.platform = platform
         self.settings = settings
         self.port = free_port()
-        self.state = folder / "state"
+        self.state = self.folder / "state"
         self.state.mkdir()
-        self.config = folder / "config.json"
-        self.log = folder / "relay.log"
+        self.config = self.folder / "config.json"
+        self.log = self.folder / "relay.log"
         self.processes: list[asyncio.subprocess.Process] = []
 
     def configure(self, platform: Platform | None = None, disk_mb: float = 3.0) -> None:
         """Write the configuration, with the list as it stands and, from now on, another platform if one is named."""
         self.platform = platform or self.platform
         config = {
-            "name": "n1",
+            "name": self.name,
             "listen": f"127.0.0.1:{self.port}",
-            "discovery": self.platform.address,
+            "discovery": self.at or self.platform.address,
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": disk_mb},
             "known": self.platform.listing(),
@@ -367,9 +455,9 @@
         """Start a process by the deploy file's command, with a private empty TMPDIR."""
         environment = {
             **os.environ,
-            "RELAY_NAME": "n1",
+            "RELAY_NAME": self.name,
             "RELAY_LISTEN": f"127.0.0.1:{self.port}",
-            "RELAY_DISCOVERY": self.platform.address,
+            "RELAY_DISCOVERY": self.at or self.platform.address,
             "RELAY_STATE": str(self.state),
             "RELAY_CONFIG": str(self.config),
             "TMPDIR": tempfile.mkdtemp(dir=self.folder),
@@ -406,7 +494,7 @@
                     pong = await reader.readline()
                     writer.transport.abort()
                 if pong == b"+PONG\r\n":
-                    self.record.add("relay answers PING")
+                    self.record.add(f"relay {self.name} answers PING")
                     return process
             except (OSError, TimeoutError):
                 pass
@@ -446,7 +534,7 @@
 
     async def kill(self, process: asyncio.subprocess.Process) -> None:
         """SIGKILL, and wait for the end."""
-        self.record.add("SIGKILL to the relay")
+        self.record.add(f"SIGKILL to relay {self.name}")
         process.kill()
         await process.wait()
 
