Review: the reload and the drain in an upgrade are cases 7 and 8; the order's is dropped

In case 8 the draining host ends 2.2 s after the drain was told, so payments that come too late are cut off, as the record shows.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,95 +1,96 @@
-"""A host is told to drain while the relay is being upgraded; then the new process dies, and the old one carries on."""
+"""A new configuration moves discovery and the platform while the relay is being upgraded."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-2"))
 
 import standins as s
 
-REGISTER_LATE_S = 2.0  # from a call of discovery until its first line
-MESSAGE_GAP_S = 0.05
-WATCH_S = 4.0  # for which messages go on after the new process has died
-GRACE_S = 1.0 + 0.05  # rules.drainGrace, and the 50 ms of the protocol page
-AFTER_TAKE_OVER_S = 0.2  # until the new process is killed
-
-CLASSES = [s.message_class("match-state", "retryable", 1, 8), s.message_class("licence-fee", "fragile", 2, 28)]
-
-
-async def wait_for_log(relay: s.Relay, text: str, limit_s: float) -> bool:
-    """Wait until the relay's log has a line with a text."""
-    end = time.monotonic() + limit_s
-    while text not in relay.log.read_text(errors="replace"):
-        if time.monotonic() > end:
-            return False
-        await asyncio.sleep(0.005)
-    return True
+CONFIGURED_AFTER_S = 0.7  # from the start of the new process to the new configuration and its SIGHUP
+ASKED_AFTER_S = 1.4  # from the start of the new process to the first HEALTH: it has 6 s to say yes
+OLD_ADDRESS_S = 4.0  # standing page: what the new address has counts 4 s after SIGHUP; then the old one is closed
+MESSAGES_S = 12.0
+DEADLINE_S = 3.0
+SLACK_S = 0.3 + 0.05 + 0.15  # 300 ms past a message's time, 50 ms longer on sockets, 150 ms for this machine
+CLASSES = [s.message_class("match-state", "retryable", 1, DEADLINE_S)]
 
 
 async def play(record: s.Record, folder: Path, trouble: bool) -> list[str]:
     """Play the case once."""
 
     async def serve(call: s.Call) -> None:
-        await asyncio.sleep(0.1)
-        call.write(503 if call.host.status == "Terminating" and call.came > drained_at + GRACE_S else 200)
+        await asyncio.sleep(0.1 if call.host.dest == 1 else 60)
+        if call.ended is None:
+            call.write(200)
 
-    drained_at = float("inf")
-    hosts = [s.Host(record, "s-1", 1, serve), s.Host(record, "s-2", 1, serve)]
+    hosts = [s.Host(record, "s-1", 1, serve), s.Host(record, "s-2", 2, serve)]  # the second one hangs
     for host in hosts:
         await host.start()
-    platform = s.Platform(record, hosts, late_s=REGISTER_LATE_S)
-    await platform.start()
-    relay = s.Relay(record, folder, platform, s.settings(CLASSES))
+    first, second = s.Platform(record, hosts), s.Platform(record, hosts)
+    for platform in (first, second):
+        await platform.start()
+    relay = s.Relay(record, folder, first, s.settings(CLASSES))
     relay.configure()
     first_ops, second_ops = s.free_port(), s.free_port()
+    due: dict[str, float] = {}
     try:
-        old = await relay.start(first_ops)
-        if not await wait_for_log(relay, "is taken up", 10):
-            raise s.CannotRunError("the relay's watch is not open")
-        await asyncio.sleep(REGISTER_LATE_S + 0.5)
-        until = float("inf")
+        process = await relay.start(first_ops)
+        until = record.now() + MESSAGES_S
 
         async def messages() -> None:
             client, number = s.Client(record, relay.port), 0
             while record.now() < until:
-                klass, d_ms = ("licence-fee", 28_000) if number % 2 else ("match-state", 8_000)
-                await client.enqueue(f"m-{number}", klass, d_ms, 1, None, b"message %d" % number)
+                ref = f"m-{number}"
+                sent_at = record.now()
+                if await client.enqueue(ref, "match-state", int(DEADLINE_S * 1000), 1 + number % 2, None, b"x") == "+OK":
+                    due[ref] = sent_at + DEADLINE_S
                 number += 1
-                await asyncio.sleep(MESSAGE_GAP_S)
+                await asyncio.sleep(0.2)
+
+        async def move() -> None:
+            relay.configure(second)
+            record.add("the configuration names another address of discovery; SIGHUP to the running process")
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(OLD_ADDRESS_S)
+            first.stop()
+            record.add("the old address is closed")
 
         sending = asyncio.create_task(messages())
-        await asyncio.sleep(1.0)
-        relay.configure()  # fresh: the list as the relay has it now
+        await asyncio.sleep(1.5)
         if trouble:
             record.add("upgrade: the new process is started")
-            new = await relay.spawn(second_ops)
-        hosts[0].status = "Terminating"
-        if not platform.tell(hosts[0]):
-            raise s.CannotRunError("no watch was open when the drain was told")
-        drained_at = record.now()
+            await relay.spawn(second_ops)
+            await asyncio.sleep(CONFIGURED_AFTER_S)
+        moving = asyncio.create_task(move())
         if trouble:
-            if await wait_for_log(relay, "upgrade: the new process serves", 6):
-                await asyncio.sleep(AFTER_TAKE_OVER_S)
-            await relay.kill(new)
-        await asyncio.sleep(WATCH_S)
-        until = record.now()
-        await sending
-        if old.returncode is not None:
-            raise s.CannotRunError("the old process has ended")
-        return [
-            f"{call.ref} came to s-1 at {call.first:.3f} s; the relay was told at {drained_at:.3f} s that s-1 drains"
-            for call in hosts[0].calls
-            if call.first > drained_at + GRACE_S
-        ]
+            await asyncio.sleep(ASKED_AFTER_S - CONFIGURED_AFTER_S)
+            if not (await relay.operator(second_ops, "HEALTH")).startswith("+OK"):
+                raise s.CannotRunError(f"the new process does not say yes: {relay.log_tail()}")
+            record.add("upgrade: the new process says yes; SIGTERM to the old one")
+            process.send_signal(signal.SIGTERM)
+            await asyncio.wait_for(process.wait(), 4)
+        await asyncio.gather(sending, moving)
+        await asyncio.sleep(DEADLINE_S + 1)
+        delivered = {call.ref for host in hosts for call in host.calls if call.answer == 200}
+        broken = []
+        for ref, time_up in due.items():
+            notified = [at for platform in (first, second) for at, _ in platform.notices.get(ref, [])]
+            if ref not in delivered and min(notified, default=float("inf")) > time_up + SLACK_S:
+                broken.append(
+                    f"{ref} was taken on, its time was up at {time_up:.3f} s; no delivery, notices at {notified}"
+                )
+        return broken
     finally:
         await relay.stop()
         for host in hosts:
             host.stop()
-        platform.stop()
+        for platform in (first, second):
+            platform.stop()
 
 
 if __name__ == "__main__":
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,104 +1,107 @@
-"""Ordered messages wait behind a slow partner while large messages fill the journal; then the relay is upgraded."""
+"""A host is told to drain while the relay is being upgraded; then the new process dies, and the old one carries on."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-2"))
 
 import standins as s
 
-KEYS = ("match-17", "match-23")
-ORDERED = 12  # messages of each key, one every ORDERED_GAP_S
-ORDERED_GAP_S = 0.4
-SERVICE_S = 0.75  # of the slow partner, for an ordered message
-BULK_GAP_S = 0.03  # between two large messages to the other partner
-BULK_BYTES = 20_000
-UPGRADE_AT_S = 5.0
-DEADLINE_S = 28
-
-CLASSES = [
-    s.message_class("score", "retryable", 2.5, DEADLINE_S, inTurn=True, keyScope="all"),
-    s.message_class("clip-release", "dedup", 2.5, DEADLINE_S),
-]
-
-
-def judge(accepted: dict[str, list[str]], calls: list[s.Call], platform: s.Platform) -> list[str]:
-    """The rule on order: nothing goes out for a message while an earlier one of its key is unfinished."""
-    broken = []
-    delivered = {call.ref: call.ended for call in calls if call.answer == 200 and call.ended is not None}
-    for refs in accepted.values():
-        place = {ref: number for number, ref in enumerate(refs)}
-        for call in calls:
-            for earlier in refs[: place.get(call.ref, 0)]:
-                notified = min((at for at, _ in platform.notices.get(earlier, [])), default=float("inf"))
-                if min(delivered.get(earlier, float("inf")), notified) > call.came:
-                    broken.append(
-                        f"{call.ref} came to the host at {call.came:.3f} s, but {earlier}, which the relay took "
-                        f"earlier with the same key, was unfinished"
-                    )
-                    break
-    return broken
+REGISTER_LATE_S = 2.0  # from a call of discovery until its first line
+SERVICE_S = 0.2
+ENDS_AFTER_S = 2.2  # from the drain until s-1, which has long finished what it had, ends
+MESSAGE_GAP_S = 0.03
+WATCH_S = 4.0  # for which messages go on after the new process has died
+GRACE_S = 1.0 + 0.05  # rules.drainGrace, and the 50 ms of the protocol page
+AFTER_TAKE_OVER_S = 0.2  # until the new process is killed
+
+CLASSES = [s.message_class("match-state", "retryable", 1, 8), s.message_class("licence-fee", "fragile", 2, 28)]
+
+
+async def wait_for_log(relay: s.Relay, text: str, limit_s: float) -> bool:
+    """Wait until the relay's log has a line with a text."""
+    end = time.monotonic() + limit_s
+    while text not in relay.log.read_text(errors="replace"):
+        if time.monotonic() > end:
+            return False
+        await asyncio.sleep(0.005)
+    return True
 
 
 async def play(record: s.Record, folder: Path, trouble: bool) -> list[str]:
     """Play the case once."""
 
-    async def slow(call: s.Call) -> None:
+    async def serve(call: s.Call) -> None:
         await asyncio.sleep(SERVICE_S)
-        call.write(200)
+        if call.ended is None:
+            call.write(200)
 
-    async def quick(call: s.Call) -> None:
-        await asyncio.sleep(0.02)
-        call.write(200)
-
-    slow_host, quick_host = s.Host(record, "s-1", 1, slow), s.Host(record, "s-2", 2, quick)
-    for host in (slow_host, quick_host):
+    drained_at = float("inf")
+    hosts = [s.Host(record, "s-1", 1, serve), s.Host(record, "s-2", 1, serve)]
+    for host in hosts:
         await host.start()
-    platform = s.Platform(record, [slow_host, quick_host])
+    platform = s.Platform(record, hosts, late_s=REGISTER_LATE_S)
     await platform.start()
-    relay = s.Relay(record, folder, platform, s.settings(CLASSES, rules={"turnGap": s.SECOND}))
+    relay = s.Relay(record, folder, platform, s.settings(CLASSES))
     relay.configure()
     first_ops, second_ops = s.free_port(), s.free_port()
-    accepted: dict[str, list[str]] = {key: [] for key in KEYS}
     try:
-        process = await relay.start(first_ops)
-        began = record.now()
-
-        async def ordered() -> None:
-            client = s.Client(record, relay.port)
-            for number in range(ORDERED):
-                for key in KEYS:
-                    ref = f"{key}-{number:02d}"
-                    if (await client.enqueue(ref, "score", DEADLINE_S * 1000, 1, key, b"score %d" % number)) == "+OK":
-                        accepted[key].append(ref)
-                await asyncio.sleep(ORDERED_GAP_S)
-
-        async def bulk() -> None:
-            client = s.Client(record, relay.port)
-            number = 0
-            while record.now() < began + UPGRADE_AT_S:
-                await client.enqueue(f"clip-{number}", "clip-release", 28_000, 2, f"k{number}", bytes(BULK_BYTES))
+        old = await relay.start(first_ops)
+        if not await wait_for_log(relay, "is taken up", 10):
+            raise s.CannotRunError("the relay's watch is not open")
+        await asyncio.sleep(REGISTER_LATE_S + 0.5)
+        until = float("inf")
+
+        async def messages() -> None:
+            client, number = s.Client(record, relay.port), 0
+            while record.now() < until:
+                klass, d_ms = ("licence-fee", 28_000) if number % 3 else ("match-state", 8_000)
+                await client.enqueue(f"m-{number}", klass, d_ms, 1, None, b"message %d" % number)
                 number += 1
-                await asyncio.sleep(BULK_GAP_S)
+                await asyncio.sleep(MESSAGE_GAP_S)
 
-        await asyncio.gather(ordered(), bulk())
+        sending = asyncio.create_task(messages())
+        await asyncio.sleep(1.0)
+        relay.configure()  # fresh: the list as the relay has it now
+        if trouble:
+            record.add("upgrade: the new process is started")
+            new = await relay.spawn(second_ops)
+        hosts[0].status = "Terminating"
+        if not platform.tell(hosts[0]):
+            raise s.CannotRunError("no watch was open when the drain was told")
+        drained_at = record.now()
+
+        async def end_host() -> None:
+            await asyncio.sleep(ENDS_AFTER_S)
+            record.add("s-1 ends")
+            hosts[0].stop()
+
+        ending = asyncio.create_task(end_host())
         if trouble:
-            await relay.upgrade(process, second_ops)
-        end = record.now() + DEADLINE_S + 1
-        while record.now() < end:
-            done = {call.ref for call in slow_host.calls if call.answer == 200} | set(platform.notices)
-            if all(ref in done for refs in accepted.values() for ref in refs):
-                break
-            await asyncio.sleep(0.1)
-        if min(len(refs) for refs in accepted.values()) < ORDERED // 2:
-            raise s.CannotRunError("the relay took too few of the ordered messages")
-        return judge(accepted, slow_host.calls, platform)
+            if await wait_for_log(relay, "upgrade: the new process serves", 6):
+                await asyncio.sleep(AFTER_TAKE_OVER_S)
+            await relay.kill(new)
+        await asyncio.sleep(WATCH_S)
+        until = record.now()
+        await asyncio.gather(sending, ending)
+        await asyncio.sleep(1)
+        late = {call.ref for call in hosts[0].calls if call.first > drained_at + GRACE_S}
+        for ref in sorted(late & set(platform.notices)):
+            record.add(f"{ref} was sent to s-1 too late, and ended as {platform.notices[ref][0][1]}")
+        if old.returncode is not None:
+            raise s.CannotRunError("the old process has ended")
+        return [
+            f"{call.ref} came to s-1 at {call.first:.3f} s; the relay was told at {drained_at:.3f} s that s-1 drains"
+            for call in hosts[0].calls
+            if call.first > drained_at + GRACE_S
+        ]
     finally:
         await relay.stop()
-        for host in (slow_host, quick_host):
+        for host in hosts:
             host.stop()
         platform.stop()
 
