--- a/garnetrelay/recovery.py
+++ b/garnetrelay/recovery.py
@@ -17,6 +17,8 @@
 from garnetrelay.config.deployment import Address, Config
 from garnetrelay.discovery.client import Discovery
 from garnetrelay.discovery.host_list import ListReader, ListUpdate
+from garnetrelay.ends.held import EndNotice
+from garnetrelay.ends.notifier import EndNotifier
 from garnetrelay.pending import PendingMessage
 from garnetrelay.recorded_times import newest_attempt_ms, ran_ago
 from garnetrelay.recovery_stats import RecoveryStats
@@ -36,6 +38,11 @@
 MAX_SLICE_MESSAGES = 1000  # messages restored in one iteration of the loop: some ten milliseconds
 
 
+def monotonic_deadline(entry: Entry) -> int:
+    """A recorded message's deadline by the monotonic clock, in nanoseconds."""
+    return time.monotonic_ns() + entry.deadline * MS - time.time_ns()
+
+
 class Recovery(ABC):
     """The part of a relay that starts it. ``Relay`` sets the attributes and implements the abstract methods."""
 
@@ -53,7 +60,7 @@
     restored: list[Entry]  # reported to the Pacer in the next tick
     clock_trusted: bool  # no time in the journal is ahead of the wall clock
     recovery_stats: RecoveryStats
-    tick_notices: list[tuple[str, str, int]]  # ref, result and wait of each end decided in this tick
+    ends: EndNotifier
     inbox: list[io.Event]
     closed: bool
 
@@ -112,9 +119,11 @@
         self._check_wall_clock()
         first: list[Entry] = []
         rest: list[Entry] = []
+        notices = 0
         for entry in list(self.journal.entries.values()):
             if entry.ended is not None:
-                self.tick_notices.append((entry.ref, entry.ended, entry.wait_ms))
+                notices += 1
+                self.ends.add(EndNotice(entry.ref, entry.ended, entry.wait_ms, monotonic_deadline(entry)))
             elif entry.klass not in self.class_numbers:
                 log.error("journal: message %s has the unknown class %s", entry.ref, entry.klass)
                 self._end(entry.ref, "dead", 0)
@@ -124,7 +133,7 @@
                 rest.append(entry)
         rest.sort(key=lambda entry: entry.deadline)
         if self.journal.entries:
-            log.info("picked up %d messages and %d notices", len(first) + len(rest), len(self.tick_notices))
+            log.info("picked up %d messages and %d notices", len(first) + len(rest), notices)
         self.recovering.extend(rest)
         self._restore(first)
 
@@ -145,13 +154,11 @@
             )
 
     def _restore(self, entries: list[Entry]) -> None:
-        now_ms = time.time_ns() // MS
         for entry in entries:
             if not entry.attempts:
                 self.recovery_stats.on_found(entry.ref)
-            ends_at = time.monotonic_ns() + (entry.deadline - now_ms) * MS
             self.pending[entry.ref] = PendingMessage(
-                entry.ref, entry.klass, entry.key, entry.body, ends_at, entry.attempts
+                entry.ref, entry.klass, entry.key, entry.body, monotonic_deadline(entry), entry.attempts
             )
         if entries:
             self.restored += entries
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -25,12 +25,14 @@
 from garnetrelay.delivery.http.requests import probe_request
 from garnetrelay.discovery.client import Discovery
 from garnetrelay.discovery.host_list import ListReader, ListUpdate
+from garnetrelay.ends.held import EndNotice
+from garnetrelay.ends.notifier import EndNotifier
 from garnetrelay.fronts.resp.requests import RejectedError, Request
 from garnetrelay.fronts.resp.server import Reply, Server
 from garnetrelay.loop_lag import LoopLag
 from garnetrelay.pending import NewRequest, PendingMessage
 from garnetrelay.platform.notices import Notices
-from garnetrelay.recovery import Recovery
+from garnetrelay.recovery import Recovery, monotonic_deadline
 from garnetrelay.recovery_stats import RecoveryStats
 from garnetrelay.shutdown import Shutdown
 from garnetrelay.socket_poll import MAX_POLL_AGE_NS, after_socket_poll
@@ -100,7 +102,6 @@
         self.flush_scheduled = False
         self.lag = LoopLag()
         self.alarm: asyncio.TimerHandle | None = None
-        self.tick_notices: list[tuple[str, str, int]] = []  # ref, result and wait of each end decided in this tick
         self.unrecorded_ticks = 0  # ticks whose records are still being written
         self.closed = False
         self.maintenance_timer: asyncio.TimerHandle | None = None
@@ -127,6 +128,7 @@
         self.reader = ListReader(config)
         self.discovery = Discovery(config.discovery, self.reader, 0, self.on_list_update)
         self.notices = Notices(config.discovery, self._on_notice_acknowledged)
+        self.ends = EndNotifier(self.journal, self.notices)
 
     def _remaining_host_connections(self) -> int:
         """How many more connections to hosts may be opened."""
@@ -216,6 +218,7 @@
         if self.sync_worker is not None:
             self.sync_worker.close()
         self.discovery.close()
+        self.ends.close()
         self.notices.close()
         if self.fleet is not None:
             self.fleet.close()
@@ -429,9 +432,10 @@
             self._execute(action)
         self.new_requests.clear()
         # What is sent now depends on the records of this tick: it is released once they are written.
-        notices, self.tick_notices = self.tick_notices, []
         self.unrecorded_ticks += 1
-        self.journal.when_recorded(functools.partial(self._release, notices, new_requests, self.hosts.gathered()))
+        self.journal.when_recorded(
+            functools.partial(self._release, self.ends.take_added(), new_requests, self.hosts.gathered())
+        )
         self._maintain_journal()
         if self.stopping:
             self._end_if_idle()
@@ -439,21 +443,18 @@
 
     def _release(
         self,
-        notices: list[tuple[str, str, int]],
+        ends: list[EndNotice],
         new_requests: list[NewRequest],
         calls: list[PreparedCall],
         recorded: bool,
     ) -> None:
-        """Send what a tick has decided, or refuse it if it could not be recorded. Notices of ends are sent in any
-        case."""
+        """Send what a tick has decided, or refuse it if it could not be recorded."""
         self.unrecorded_ticks -= 1
         if self.closed:
             return
         if self.stop_deadline_passed and not self.unrecorded_ticks:
             self.finished.set()
-        for notice in notices:
-            self.notices.add(*notice)
-        self.notices.send()
+        self.ends.release(ends, recorded)
         for new_request in new_requests:
             self._answer(new_request, recorded)
         self.hosts.release(calls, recorded)
@@ -463,6 +464,7 @@
         if self.closed:
             return
         self.journal.maintain()
+        self.ends.retry()
         if self.journal.needs_maintenance and self.maintenance_timer is None:
             pause = WRITE_RETRY_INTERVAL_S if self.journal.write_failed else MAINTENANCE_INTERVAL_S
             self.maintenance_timer = asyncio.get_running_loop().call_later(pause, self._on_maintenance_timer)
@@ -500,7 +502,7 @@
         self.pending.pop(ref, None)
         self.journal.record_end(ref, None)
         self.counts.refused[new_request.request.klass] += 1
-        new_request.reply.busy(0)
+        self.ends.refuse(ref, new_request.reply)
         self.post(io.Withdrawn(ref))
 
     def _execute(self, action: io.Action) -> None:
@@ -594,9 +596,9 @@
             self.finish(message, result, wait_ms)
             if message.exchange is None:
                 del self.pending[ref]
-        elif ref in self.journal.entries:
+        elif (entry := self.journal.entries.get(ref)) is not None:
             self.journal.record_end(ref, result, wait_ms)
-            self.tick_notices.append((ref, result, wait_ms))
+            self.ends.add(EndNotice(ref, result, wait_ms, monotonic_deadline(entry)))
 
     def finish(self, message: PendingMessage, result: str | None, wait_ms: int, notify_result: str | None = None) -> None:
         """A message has ended with a result (None: delivered). ``notify_result``: the result that the platform is
@@ -613,4 +615,4 @@
         notified = result or notify_result
         self.journal.record_end(message.ref, notified, wait_ms)
         if notified is not None:
-            self.tick_notices.append((message.ref, notified, wait_ms))
+            self.ends.add(EndNotice(message.ref, notified, wait_ms, message.ends_at))
--- a/garnetrelay/shutdown.py
+++ b/garnetrelay/shutdown.py
@@ -13,6 +13,7 @@
 from collections.abc import Sized
 from typing import TYPE_CHECKING
 
+from garnetrelay.ends.notifier import EndNotifier
 from garnetrelay.fronts.resp.server import Server
 from garnetrelay.pending import PendingMessage
 from garnetrelay.platform.notices import Notices
@@ -35,6 +36,7 @@
 
     server: Server
     notices: Notices
+    ends: EndNotifier
     predecessor: PredecessorLink | None  # the previous process, while it may still forward operator commands
     pending: dict[str, PendingMessage]  # by ref
     recovering: Sized  # read from the journal, not yet restored
@@ -98,6 +100,7 @@
             self.pending
             or self.recovering
             or self.notices.queue
+            or self.ends.waiting
             or self.unrecorded_ticks
             or self.tick_scheduled
             or self.inbox
--- a/garnetrelay/store/compaction.py
+++ b/garnetrelay/store/compaction.py
@@ -11,6 +11,7 @@
 
 from garnetrelay.store import compaction_policy
 from garnetrelay.store import format as fmt
+from garnetrelay.store.index import Segment
 from garnetrelay.store.reading import segment_name
 from garnetrelay.store.segment_log import SegmentLog
 from garnetrelay.store.storage import Storage, round_to_blocks
@@ -69,9 +70,18 @@
     def _next_victim(self) -> int | None:
         kept = self._damaged_segments if self._unrecorded_uncertain else set()
         return compaction_policy.next_victim(
-            (segment for number, segment in self.index.segments.items() if number not in kept), self._active.number
+            (
+                segment
+                for number, segment in self.index.segments.items()
+                if number not in kept and not self._has_only_record(segment)
+            ),
+            self._active.number,
         )
 
+    def _has_only_record(self, segment: Segment) -> bool:
+        """Whether a record that compaction has copied from the segment is missing from the files: its copy failed."""
+        return not self.unrecorded.isdisjoint(segment.stale)
+
     def _record_uncertain(self, max_messages: int) -> None:
         """Writes the states of uncertain messages.
 
@@ -145,6 +155,8 @@
         segment = self.index.segments.get(number)
         if segment is None or not segment.size or segment.entries or segment.tombstones:
             return  # removed already, or some of its records are needed again
+        if self._has_only_record(segment):
+            return
         try:
             self.storage.remove(segment_name(number))
         except OSError as error:
@@ -172,32 +184,43 @@
         return True
 
     def _retry_failed(self) -> None:
-        """Retries after a failed write or sync: writes the full states of all messages with unrecorded changes."""
+        """Retries after a failed write or sync: writes the full states of all messages with unrecorded changes.
+
+        The smallest come first, and what was written stays recorded if a later write fails: an end is small, and its
+        notice waits for it. A full folder is compacted before and meanwhile.
+        """
         self._mark_pending_unrecorded()
         self.write_failed = False
         if (self._handle is None or self._torn_tail and not self._truncate_torn_tail()) and not self._begin_segment():
             self.write_failed = True
             return
-        pieces: list[tuple[str, bytes]] = []
-        for ref in self.unrecorded:
-            entry = self.entries.get(ref)
-            pieces.append((ref, fmt.encode_gone(ref) if entry is None else fmt.encode_state(entry)))
-        if not self._append(b"".join(data for _, data in pieces) or fmt.NOTE_RECORD):
+        self._make_room()
+        if not self.unrecorded and not self._pending and not self.write_failed:
+            self._append(fmt.NOTE_RECORD)
+        for ref in sorted(self.unrecorded, key=self._state_size):
+            if self.write_failed:
+                return
+            self.unrecorded.discard(ref)
+            self._rewrite(ref)
+            if len(self._pending) >= compaction_policy.MIN_STEP_BYTES:
+                self.flush()
+        if self.flush():
+            self._failure_logged = False
+            log.warning("journal: the folder takes records again")
+
+    def _state_size(self, ref: str) -> int:
+        entry = self.entries.get(ref)
+        return 0 if entry is None else len(entry.body)
+
+    def _rewrite(self, ref: str) -> None:
+        """Buffers a message's full state, or that it is gone."""
+        entry = self.entries.get(ref)
+        if entry is not None:
+            size = self._buffer_record(fmt.encode_state(entry), ref)
+            self.index.set_base(entry, self._active.number, size)
             return
+        size = self._buffer_record(fmt.encode_gone(ref), ref)
         number = self._active.number
-        for ref, data in pieces:
-            self._active.records += 1
-            entry = self.entries.get(ref)
-            if entry is not None:
-                self.index.set_base(entry, number, len(data))
-            else:
-                # Which segments have a base record of it is not known any more: any of them may.
-                self.index.set_gone(ref, number, len(data))
-                self.index.add_tombstone(
-                    ref, number, len(data), {other for other in self.index.segments if other != number}
-                )
-        if self.machine_durable:
-            self._unsynced |= self.unrecorded
-        self.unrecorded.clear()
-        self._failure_logged = False
-        log.warning("journal: the folder takes records again")
+        # Which segments have a base record of it is not known any more: any of them may.
+        self.index.set_gone(ref, number, size)
+        self.index.add_tombstone(ref, number, size, {other for other in self.index.segments if other != number})
--- a/garnetrelay/store/index.py
+++ b/garnetrelay/store/index.py
@@ -150,8 +150,13 @@
             self.segments[other].stale.add(ref)
 
     def drop_body(self, entry: Entry) -> None:
-        """Frees the body of a message that has ended: only its notice is pending."""
-        self.reserved -= len(entry.body)
+        """Frees the body of a message that has ended: only its notice is pending. The bytes that its base record has
+        of the body are not live any more: compaction copies the record without them."""
+        size = len(entry.body)
+        self.reserved -= size
+        entry.spread[entry.base] -= size
+        self.segments[entry.base].live -= size
+        self.live -= size
         entry.body = b""
 
     def remove_segment(self, number: int) -> None:
--- a/garnetrelay/store/segment_log.py
+++ b/garnetrelay/store/segment_log.py
@@ -87,6 +87,11 @@
         """The live messages."""
         return self.index.entries
 
+    @property
+    def keeps_failed_records(self) -> bool:
+        """Whether the files may hold records that were reported as not recorded: a next process would apply them."""
+        return self._torn_tail
+
     @property
     def used(self) -> int:
         """Disk usage of all segments in bytes, in whole blocks, including the buffered records."""
--- a/tests/store/test_store_in_relay.py
+++ b/tests/store/test_store_in_relay.py
@@ -35,10 +35,10 @@
             patched.setattr(Folder, name, full)
         first.answer(200)
         second.answer(500)
-        assert (await field.platform.next_notice())["ref"] == "m2"  # its notice is sent anyway
         assert str(await client.enqueue("m3")).startswith("BUSY")
         assert str(await client.enqueue("m4")).startswith("BUSY")
-        assert field.host.calls.empty()
+        assert field.host.calls.empty() and field.platform.notices.empty()  # the end of m2 is not on record
+    assert (await field.platform.next_notice())["ref"] == "m2"
     await until(lambda: not field.relays[0].journal.write_failed)
     assert await client.enqueue("m5") == b"OK"
     (await field.host.next_call()).answer(200)
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -37,7 +37,7 @@
     ("garnetrelay.config",),
     ("garnetrelay.fronts", "garnetrelay.delivery", "garnetrelay.discovery"),
     ("garnetrelay.platform", "garnetrelay.pending", "garnetrelay.recorded_times"),
-    ("garnetrelay.handover",),
+    ("garnetrelay.handover", "garnetrelay.ends"),
     ("garnetrelay.operators",),
     ("garnetrelay.fleet",),
     ("garnetrelay.attempt", "garnetrelay.recovery", "garnetrelay.shutdown"),
@@ -51,6 +51,7 @@
 DECISION_LOGIC = (
     "starlingwick",
     "garnetrelay.counters",
+    "garnetrelay.ends.held",
     "garnetrelay.fleet.leases",
     "garnetrelay.fleet.members",
     "garnetrelay.fleet.partitions",
