SIGHUP to the old process of an upgrade is passed on to the new one

A SIGHUP behind the end of the loop ended the process, and one that starts again since its successor died went by RELAY_DISCOVERY, though a SIGHUP had moved it.

Change: HandoverSender.reload signals the process that took over, which handles SIGHUP since before it asked for the relay; frames and their version stay. Late signals are handled to the end of the process. RELAY_DISCOVERY no longer counts once a SIGHUP was applied or passed on.

--- a/garnetrelay/daemon.py
+++ b/garnetrelay/daemon.py
@@ -21,14 +21,36 @@
 
 log = logging.getLogger("garnetrelay")
 
+LOOP_TURNS_PER_SIGNAL = 3  # from a signal's arrival until the loop has called its handler
+
 
 def reconfigure(relay: Relay) -> None:
-    """Apply the current configuration; an invalid one changes nothing."""
+    """Handle SIGHUP: apply the current configuration; an invalid one changes nothing. Once the relay was handed over, the
+    new process is told to do so."""
+    successor = relay.successor()
+    if successor is not None:
+        os.environ.pop("RELAY_DISCOVERY", None)  # if that process dies, this one starts again, by the file
+        successor.reload()
+        return
     try:
         relay.reconfigure(reload(os.environ))
     except ConfigError as error:
         relay.counts.reloads_failed += 1
         log.error("the old configuration stays: %s", error)
+    else:
+        os.environ.pop("RELAY_DISCOVERY", None)  # as above: the file's address is newer
+
+
+async def handle_late_sighups(relay: Relay) -> None:
+    """Handle SIGHUP from the end of the loop to the end of the process, which it would end too. One that comes to a
+    process that has handed over its relay still belongs to the new process."""
+    loop = asyncio.get_running_loop()
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    for _ in range(LOOP_TURNS_PER_SIGNAL):
+        await asyncio.sleep(0)
+    loop.remove_signal_handler(signal.SIGHUP)
+    signal.signal(signal.SIGHUP, lambda number, frame: reconfigure(relay))
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
 
 
 def request_handover(config: Config) -> tuple[Config, ReceivedHandover | None, Preloaded | None]:
@@ -61,6 +83,7 @@
         await relay.finished.wait()
     finally:
         relay.close()
+        await handle_late_sighups(relay)
 
 
 def run(early_sighups: list[int]) -> int:
--- a/garnetrelay/handover/sender.py
+++ b/garnetrelay/handover/sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import os
 import signal
@@ -339,6 +340,15 @@
             case _:
                 pass
 
+    def reload(self) -> None:
+        """Pass a SIGHUP on to the new process, which owns the relay. It handles one at any time since before it asked for
+        the relay. If it is gone, this process starts again from the folder, and reads the configuration as well."""
+        assert self.channel is not None
+        process = self.channel.peer[0]
+        log.info("upgrade: SIGHUP is passed on to process %d", process)
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(process, signal.SIGHUP)
+
     def exclude(self, host: str, out: bool) -> str:
         """Forward an operator command to the new process, which owns the relay; returns the error, or ''."""
         assert self.channel is not None
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -196,7 +196,7 @@
         """Apply what may change while the relay runs (SIGHUP): the address of discovery. The current list of hosts
         stays in force until the new address sends its own."""
         self.counts.reloads_ok += 1
-        if self.closed:  # handed over to a new process, which reads its own configuration
+        if self.closed:
             return
         if self.fleet is not None:
             self.fleet.read_secrets()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -32,6 +32,7 @@
         self.field = field
         self.port = field.free_port()
         self.child: asyncio.subprocess.Process | None = None
+        self.pass_fds: tuple[int, ...] = ()
 
     async def start(self, more: dict[str, str] | None = None) -> Client:
         self.child = await asyncio.create_subprocess_exec(
@@ -41,6 +42,7 @@
             cwd=ROOT,
             env={**os.environ, **self.field.environment(self.port), **(more or {})},
             stderr=asyncio.subprocess.PIPE,
+            pass_fds=self.pass_fds,
         )
         await self.says(b"serves on")
         return await Client.connect(self.port)
