A key of an ordered class rests behind a kill as well

The rest stood in the Pacer's memory alone, and a start sets one only for keys of pending messages that may have run.

Change: the end of a rest is put on record ahead of the message's end, by the monotonic clock of the machine's boot, so that no set clock shortens it; in another boot the key rests anew. The record is a NOTE with content, which earlier versions pass over. Compaction copies it, and a retry writes it anew.

--- a/garnetrelay/attempt.py
+++ b/garnetrelay/attempt.py
@@ -16,6 +16,7 @@
 from garnetrelay.delivery.http.answers import Outcome
 from garnetrelay.delivery.http.connection import Exchange
 from garnetrelay.delivery.http.requests import call_request
+from garnetrelay.key_rests import KeyRests
 from garnetrelay.pending import PendingMessage
 from garnetrelay.recovery_stats import RecoveryStats
 from garnetrelay.store.store import Store
@@ -39,6 +40,7 @@
     config: Config
     pacer: Pacer
     journal: Store
+    key_rests: KeyRests
     recovery_stats: RecoveryStats
     owners: Owners | None  # None: no leases
     listed: dict[str, io.HostEntry]  # by host
@@ -120,6 +122,9 @@
         # The loop reads sockets before it runs timers, so an answer may be read after the message's deadline. Nobody
         # waits for that answer any more, and the client still needs to be notified of an end.
         now = time.monotonic_ns()
+        rest = relay.key_rests.after(message.klass, message.key, outcome.status, now)
+        if rest is not None:  # ahead of the message's end, which may be the last that the journal has of it
+            relay.journal.record_key_rest(rest, now)
         finished = outcome.finished and now < message.ends_at
         if finished:
             # The message's end also settles the attempt. The client counts its time from its sending: if the answer
--- a/garnetrelay/cli/journal.py
+++ b/garnetrelay/cli/journal.py
@@ -109,6 +109,8 @@
                 text = f"{ref} {result} wait {wait} ms"
             case Kind.GONE:
                 text = fmt.read_gone(found)
+            case Kind.NOTE if (rest := fmt.read_key_rest(found)) is not None:
+                text = f"key {rest.key} rests until {rest.until} in boot {rest.boot.hex()}"
             case _:
                 text = ""
     except fmt.FormatError as error:
--- a/garnetrelay/recovery.py
+++ b/garnetrelay/recovery.py
@@ -19,6 +19,7 @@
 from garnetrelay.discovery.host_list import ListReader, ListUpdate
 from garnetrelay.ends.held import EndNotice
 from garnetrelay.ends.notifier import EndNotifier
+from garnetrelay.key_rests import KeyRests
 from garnetrelay.pending import PendingMessage
 from garnetrelay.recorded_times import newest_attempt_ms, ran_ago
 from garnetrelay.recovery_stats import RecoveryStats
@@ -26,6 +27,7 @@
 from garnetrelay.store.store import Store
 from starlingwick import interface as io
 from starlingwick.control import Pacer
+from starlingwick.snapshot import block_key, restore_snapshot
 
 if TYPE_CHECKING:
     from garnetrelay.handover.protocol import State
@@ -50,6 +52,7 @@
     settings: io.Settings
     pacer: Pacer
     journal: Store
+    key_rests: KeyRests
     reader: ListReader
     discovery: Discovery
     handover: ReceivedHandover | None  # from the previous process; None once started, or if there was none
@@ -96,8 +99,6 @@
 
     def _restore_handover(self, state: State) -> None:
         """Restore the list of hosts and the Pacer's snapshot from the previous process."""
-        from starlingwick.snapshot import restore_snapshot
-
         entries, addresses = [], {}
         for e in state.endpoints:
             entries.append(io.HostEntry(e.name, e.zone, e.kind, e.dest, io.Availability(e.availability), e.rate))
@@ -117,6 +118,7 @@
         first, while clients are answered."""
         calls = {} if self.handover is None else self.handover.calls
         self._check_wall_clock()
+        self._restore_key_rests()
         first: list[Entry] = []
         rest: list[Entry] = []
         notices = 0
@@ -137,6 +139,18 @@
         self.recovering.extend(rest)
         self._restore(first)
 
+    def _restore_key_rests(self) -> None:
+        """Let keys rest behind attempts of earlier processes, for as long as these would have."""
+        now = time.monotonic_ns()
+        recorded = self.journal.key_rests
+        in_force = self.key_rests.in_force(recorded, now)
+        for key in {rest.key for rest in recorded} - {rest.key for rest in in_force}:
+            self.journal.drop_key_rest(key)
+        for rest in in_force:
+            block_key(self.pacer, rest.key, rest.until)
+            if rest not in recorded:  # recorded in an earlier boot: a next process must not begin anew again
+                self.journal.record_key_rest(rest, now)
+
     def _recover_slice(self) -> None:
         """Restore one slice, and schedule the next in a later iteration of the loop."""
         if self.closed:
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -17,6 +17,7 @@
 from typing import TYPE_CHECKING
 
 from garnetrelay.attempt import Attempt
+from garnetrelay.boot import boot_id
 from garnetrelay.config.deployment import Address, Config
 from garnetrelay.counters import Counters
 from garnetrelay.delivery.http.answers import Outcome
@@ -29,6 +30,7 @@
 from garnetrelay.ends.notifier import EndNotifier
 from garnetrelay.fronts.resp.requests import RejectedError, Request
 from garnetrelay.fronts.resp.server import Reply, Server
+from garnetrelay.key_rests import KeyRests
 from garnetrelay.loop_lag import LoopLag
 from garnetrelay.pending import NewRequest, PendingMessage
 from garnetrelay.platform.notices import Notices
@@ -81,6 +83,7 @@
             config.fleet is not None and config.fleet.leases is not None,
         )
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
+        self.key_rests = KeyRests(config.settings, self.class_numbers, boot_id())
         self.listed: dict[str, io.HostEntry] = {}  # by host
         self.delisted: dict[str, None] = {}  # hosts that have left the list, the latest last
         self.counts = Counters(config.class_names)
--- a/garnetrelay/store/compaction.py
+++ b/garnetrelay/store/compaction.py
@@ -29,10 +29,14 @@
         self._damaged_segments: set[int] = set()  # kept while there are such messages
         self._first_own_segment = 0  # the first segment that this process began
 
-    def _buffer_record(self, data: bytes, ref: str) -> int:
-        """Buffers a record for the next flush, and begins a new segment where the active one is full; its size."""
+    def _buffer_record(self, data: bytes, ref: str | None) -> int:
+        """Buffers a record for the next flush, and begins a new segment where the active one is full; its size.
+
+        ``ref``: None for a record that belongs to no message; the retry of a failed write knows such records itself.
+        """
         if self.write_failed:
-            self._pending_refs.append(ref)
+            if ref is not None:
+                self._pending_refs.append(ref)
             return len(data)
         active = self._active
         if active.size + len(self._pending) + len(data) > self.sizes.segment_bytes and active.records:
@@ -40,8 +44,12 @@
             # One segment is reserved for the growth of the active one, and one for compaction.
             if self.used + self.sizes.segment_bytes > self.sizes.max_bytes - self.sizes.segment_bytes:
                 self._make_room()
+        return self._buffer(data, ref)
+
+    def _buffer(self, data: bytes, ref: str | None) -> int:
         self._pending += data
-        self._pending_refs.append(ref)
+        if ref is not None:
+            self._pending_refs.append(ref)
         self._active.records += 1
         return len(data)
 
@@ -108,13 +116,13 @@
                 victim = self._next_victim()
             if victim is None:
                 return
-            self._compact_segment(victim, self.sizes.max_bytes, len(self.index.entries) + len(self.index.tombstones) + 1)
+            self._compact_segment(victim, self.sizes.max_bytes, self.index.needed_records + 1)
 
     def _compact_segment(self, number: int, max_bytes: int, max_messages: int) -> None:
         """Copies live records out of a segment, up to the step's limits; after the last one the file is removed."""
         segment = self.index.segments[number]
         written = 0
-        while segment.entries or segment.tombstones:
+        while segment.needed:
             if self.write_failed:
                 self._victim = None
                 return
@@ -124,8 +132,10 @@
             max_messages -= 1
             if segment.entries:
                 written += self._copy_entry(next(iter(segment.entries)))
-            else:
+            elif segment.tombstones:
                 written += self._copy_tombstone(next(iter(segment.tombstones)))
+            else:
+                written += self._copy_rest(next(iter(segment.rests)))
         self._victim = None
         # The old file may be removed only once the copies are recorded.
         self.when_recorded(lambda recorded: self._remove_segment(number) if recorded else None)
@@ -141,19 +151,22 @@
         self.index.set_gone(ref, self._active.number, size)
         return size
 
-    def _buffer_copy(self, data: bytes, ref: str) -> int:
+    def _copy_rest(self, key: str) -> int:
+        rest = self.index.rests[key].rest
+        size = self._buffer_copy(fmt.encode_key_rest(rest), None)
+        self.index.set_rest(rest, self._active.number, size)
+        return size
+
+    def _buffer_copy(self, data: bytes, ref: str | None) -> int:
         """Buffers a record like ``_buffer_record``, but may use the segments reserved for compaction."""
         active = self._active
         if active.size + len(self._pending) + len(data) > self.sizes.segment_bytes and active.records:
             self._rotate()
-        self._pending += data
-        self._pending_refs.append(ref)
-        self._active.records += 1
-        return len(data)
+        return self._buffer(data, ref)
 
     def _remove_segment(self, number: int) -> None:
         segment = self.index.segments.get(number)
-        if segment is None or not segment.size or segment.entries or segment.tombstones:
+        if segment is None or not segment.size or segment.needed:
             return  # removed already, or some of its records are needed again
         if self._has_only_record(segment):
             return
@@ -184,7 +197,8 @@
         return True
 
     def _retry_failed(self) -> None:
-        """Retries after a failed write or sync: writes the full states of all messages with unrecorded changes.
+        """Retries after a failed write or sync: writes all rests of keys, and the full states of all messages with
+        unrecorded changes.
 
         The smallest come first, and what was written stays recorded if a later write fails: an end is small, and its
         notice waits for it. A full folder is compacted before and meanwhile.
@@ -194,7 +208,13 @@
         if (self._handle is None or self._torn_tail and not self._truncate_torn_tail()) and not self._begin_segment():
             self.write_failed = True
             return
+        rests_recorded = self._rewrite_rests()
+        if self._torn_tail:
+            return
+        self.write_failed = False
         self._make_room()
+        if not rests_recorded and not self._rewrite_rests():
+            return
         if not self.unrecorded and not self._pending and not self.write_failed:
             self._append(fmt.NOTE_RECORD)
         for ref in sorted(self.unrecorded, key=self._state_size):
@@ -208,6 +228,12 @@
             self._failure_logged = False
             log.warning("journal: the folder takes records again")
 
+    def _rewrite_rests(self) -> bool:
+        """Writes all rests of keys; whether that succeeded. Before compaction: it may remove their earlier records."""
+        for key in list(self.index.rests):
+            self._copy_rest(key)
+        return self.flush()
+
     def _state_size(self, ref: str) -> int:
         entry = self.entries.get(ref)
         return 0 if entry is None else len(entry.body)
--- a/garnetrelay/store/format.py
+++ b/garnetrelay/store/format.py
@@ -8,7 +8,8 @@
     TRY      an attempt's first byte may be sent       OUTCOME  an attempt ended; whether it may have run
     ENDED    the message ended, its notice is pending  GONE     nothing is pending; earlier records are void
     SEAL     the segment is complete; its record count
-    NOTE     no content; written to test whether the folder accepts writes
+    NOTE     no content: written to test whether the folder accepts writes; or a subkind, and its content: how long a key
+             rests. Programs of before subkinds ignore the content.
 
 A TRY may have eight more bytes after its last field: the epoch in which the relay owned the destination. Programs that
 know this format version but not epochs ignore them.
@@ -21,7 +22,7 @@
 import zlib
 from collections.abc import Iterator
 from enum import IntEnum
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -39,6 +40,8 @@
 _OUTCOME = struct.Struct(">BB")
 _ENDED = struct.Struct(">BBI")
 _COUNT = struct.Struct(">I")
+_KEY_REST = struct.Struct(">BQ16s")  # subkind, end, boot
+SUBKIND_KEY_REST = 1
 NO_KEY = 0xFFFF
 FLAG_TRYING, FLAG_RAN, FLAG_UNCERTAIN = 1, 2, 4
 RESULTS = ("", "dead", "bounced")
@@ -96,6 +99,14 @@
         return isinstance(other, Entry) and _stored_fields(self) == _stored_fields(other)
 
 
+class KeyRest(NamedTuple):
+    """Until when no message of a key may be sent."""
+
+    key: str
+    until: int  # monotonic clock of that boot of the machine, nanoseconds
+    boot: bytes  # ID of the boot, 16 bytes
+
+
 class Record(msgspec.Struct, gc=False):
     """A record that was read. ``offset`` and ``size`` locate it in the segment, in bytes."""
 
@@ -194,6 +205,11 @@
     return pack(Kind.SEAL, _COUNT.pack(count))
 
 
+def encode_key_rest(rest: KeyRest) -> bytes:
+    """Encodes a NOTE record with the rest of a key."""
+    return pack(Kind.NOTE, _KEY_REST.pack(SUBKIND_KEY_REST, rest.until, rest.boot) + rest.key.encode())
+
+
 SEAL_SIZE = len(encode_seal(0))
 NOTE_RECORD = pack(Kind.NOTE, b"")
 
@@ -358,6 +374,18 @@
         raise FormatError(str(error)) from None
 
 
+def read_key_rest(record: Record) -> KeyRest | None:
+    """Decodes a NOTE record; None if it has no content or is of another subkind. FormatError if it is invalid."""
+    payload = record.payload
+    if not payload or payload[0] != SUBKIND_KEY_REST:
+        return None
+    try:
+        _, until, boot = _KEY_REST.unpack_from(payload)
+        return KeyRest(payload[_KEY_REST.size :].decode(), until, boot)
+    except (struct.error, UnicodeDecodeError) as error:
+        raise FormatError(str(error)) from None
+
+
 def ref_of(record: Record) -> str:
     """The ref of the message that a record belongs to; empty for SEAL and NOTE."""
     match record.kind:
--- a/garnetrelay/store/index.py
+++ b/garnetrelay/store/index.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from garnetrelay.store import format as fmt
-from garnetrelay.store.format import Entry, Kind, Record
+from garnetrelay.store.format import Entry, KeyRest, Kind, Record
 
 DEFAULT_MAX_ATTEMPTS = 6  # attempts of a message, unless the settings say otherwise
 # Bytes of a message's records that depend neither on its ref, key and body nor on its attempts: record heads and times.
@@ -47,6 +48,12 @@
     entries: dict[str, None] = field(default_factory=dict)  # messages with needed records here
     tombstones: dict[str, int] = field(default_factory=dict)  # needed GONE records, with their size in bytes
     stale: set[str] = field(default_factory=set)  # messages with a stale base record here
+    rests: dict[str, int] = field(default_factory=dict)  # keys whose rest is recorded here, with its size in bytes
+
+    @property
+    def needed(self) -> bool:
+        """Whether any of its records is needed."""
+        return bool(self.entries or self.tombstones or self.rests)
 
 
 @dataclass(slots=True)
@@ -57,8 +64,15 @@
     bases: set[int]  # other segments with a base record of its message
 
 
+class RecordedRest(NamedTuple):
+    """The latest recorded rest of a key, and its segment."""
+
+    rest: KeyRest
+    segment: int
+
+
 class Index:
-    """All entries and segments. ``reserved``: upper bound in bytes of all records of the live messages."""
+    """All entries and segments. ``reserved``: upper bound in bytes of all records of the live messages, and of rests."""
 
     def __init__(self) -> None:
         self.max_attempts = DEFAULT_MAX_ATTEMPTS  # of a message
@@ -66,6 +80,7 @@
         self.entries: dict[str, Entry] = {}
         self.segments: dict[int, Segment] = {}
         self.tombstones: dict[str, Tombstone] = {}
+        self.rests: dict[str, RecordedRest] = {}  # by key
         self.reserved = 0
         self.live = 0  # bytes of all records that are needed
 
@@ -74,11 +89,17 @@
         self.max_attempts = max_attempts
         self.attempt_bytes = ATTEMPT_RECORD_BYTES + fmt.EPOCH.size * epochs
         self.reserved = sum(self.reserved_bytes(e.ref, e.key, len(e.body)) for e in self.entries.values())
+        self.reserved += sum(sum(segment.rests.values()) for segment in self.segments.values())
 
     def reserved_bytes(self, ref: str, key: str | None, body_length: int) -> int:
         """Upper bound in bytes of all records of a message."""
         return reserved_bytes(ref, key, body_length, self.max_attempts, self.attempt_bytes)
 
+    @property
+    def needed_records(self) -> int:
+        """How many copies a compaction of all segments would write."""
+        return len(self.entries) + len(self.tombstones) + len(self.rests)
+
     # ---- records that were written or read
 
     def set_base(self, entry: Entry, number: int, size: int) -> None:
@@ -159,6 +180,26 @@
         self.live -= size
         entry.body = b""
 
+    def set_rest(self, rest: KeyRest, number: int, size: int) -> None:
+        """Adds the record of a key's rest; earlier ones of the key are not needed any more."""
+        self.drop_rest(rest.key)
+        self.rests[rest.key] = RecordedRest(rest, number)
+        segment = self.segments[number]
+        segment.rests[rest.key] = size
+        segment.live += size
+        self.live += size
+        self.reserved += size
+
+    def drop_rest(self, key: str) -> None:
+        """Removes a key's rest, if there is one: it is over."""
+        recorded = self.rests.pop(key, None)
+        segment = None if recorded is None else self.segments.get(recorded.segment)
+        if segment is not None:
+            size = segment.rests.pop(key)
+            segment.live -= size
+            self.live -= size
+            self.reserved -= size
+
     def remove_segment(self, number: int) -> None:
         """Removes a segment whose file was removed; none of its records was needed."""
         segment = self.segments.pop(number)
@@ -195,6 +236,8 @@
             self.tombstones[ref].segment = None
             segment.live -= size
             self.live -= size
+        for key in list(segment.rests):
+            self.drop_rest(key)
         self.remove_segment(number)
 
     def _subtract_records(self, entry: Entry) -> None:
@@ -239,7 +282,10 @@
                     self.add_record(entry, number, record.size)
             case Kind.GONE:
                 self.set_gone(fmt.read_gone(record), number, record.size)
-            case Kind.SEAL | Kind.NOTE:
+            case Kind.NOTE:
+                if (rest := fmt.read_key_rest(record)) is not None:
+                    self.set_rest(rest, number, record.size)
+            case Kind.SEAL:
                 pass
 
     def mark_all_uncertain(self) -> None:
--- a/garnetrelay/store/store.py
+++ b/garnetrelay/store/store.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 
 from garnetrelay.store import format as fmt
-from garnetrelay.store.format import Entry
+from garnetrelay.store.format import Entry, KeyRest
 from garnetrelay.store.index import DEFAULT_MAX_ATTEMPTS, apply_attempt, apply_outcome
 from garnetrelay.store.preload import Preloaded
 from garnetrelay.store.recovery import RecoveredLog
@@ -135,6 +135,31 @@
         if ref in self.entries:
             self._record_gone(ref)
 
+    # ---- what happens to a key
+
+    @property
+    def key_rests(self) -> list[KeyRest]:
+        """The recorded rests of keys; some may be over."""
+        return [recorded.rest for recorded in self.index.rests.values()]
+
+    def record_key_rest(self, rest: KeyRest, now: int) -> None:
+        """Records until when a key rests. ``now``: the time by the same clock; rests that are over are dropped."""
+        self._drop_finished_rests(rest.boot, now)
+        size = self._buffer_record(fmt.encode_key_rest(rest), None)
+        self.index.set_rest(rest, self._active.number, size)
+
+    def drop_key_rest(self, key: str) -> None:
+        """Drops the rest of a key that is over."""
+        self.index.drop_rest(key)
+
+    def _drop_finished_rests(self, boot: bytes, now: int) -> None:
+        """Drops the rests that are over. The earliest recorded come first, and end first."""
+        while self.index.rests:
+            rest = next(iter(self.index.rests.values())).rest
+            if rest.boot == boot and rest.until > now:
+                return
+            self.index.drop_rest(rest.key)
+
     def _record_gone(self, ref: str) -> None:
         size = self._buffer_record(fmt.encode_gone(ref), ref)
         self.index.set_gone(ref, self._active.number, size)
--- a/starlingwick/snapshot.py
+++ b/starlingwick/snapshot.py
@@ -92,6 +92,12 @@
                 _set_attributes(host, values, HOST_ATTRIBUTES)
 
 
+def block_key(pacer: Pacer, key: str, until: int) -> None:
+    """Let no message of a key be sent before ``until`` (the Pacer's clock), nor before it may already."""
+    until = max(until, pacer.blocked_keys.pop(key, 0))
+    pacer.blocked_keys[key] = until
+
+
 def _set_attributes(target: Destination | Host, values: dict[str, Any], attributes: dict[str, str]) -> None:
     for name, attribute in attributes.items():
         if name in values:
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -26,6 +26,7 @@
     (
         "garnetrelay",
         "garnetrelay.store",
+        "garnetrelay.boot",
         "garnetrelay.counters",
         "garnetrelay.loop_lag",
         "garnetrelay.socket_poll",
@@ -36,7 +37,7 @@
     ("garnetrelay.fleet.leases",),
     ("garnetrelay.config",),
     ("garnetrelay.fronts", "garnetrelay.delivery", "garnetrelay.discovery"),
-    ("garnetrelay.platform", "garnetrelay.pending", "garnetrelay.recorded_times"),
+    ("garnetrelay.platform", "garnetrelay.pending", "garnetrelay.recorded_times", "garnetrelay.key_rests"),
     ("garnetrelay.handover", "garnetrelay.ends"),
     ("garnetrelay.operators",),
     ("garnetrelay.fleet",),
@@ -69,6 +70,7 @@
     "garnetrelay.discovery.host_list",
     "garnetrelay.discovery.watches",
     "garnetrelay.recorded_times",
+    "garnetrelay.key_rests",
     "garnetrelay.recovery_stats",
     "garnetrelay.handover.protocol",
 )
