--- a/tests/store/test_full_journal.py
+++ b/tests/store/test_full_journal.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from garnetrelay.store import compaction
+from garnetrelay.store import compaction_policy
 from garnetrelay.store.format import Entry
 from garnetrelay.store.store import Store
 from tests.store.simulated import Disk
@@ -55,7 +55,7 @@
     store = Store(disk, DISK)
     with monkeypatch.context() as patched:
         patched.setattr(Store, "_make_room", lambda self: None)  # as an earlier version left such folders
-        patched.setattr(compaction.compaction_policy, "compaction_due", lambda *_: False)
+        patched.setattr(compaction_policy, "compaction_due", lambda *_: False)
         store.record_accepted(entry("kept"))
         for number in range(DISK):
             store.record_accepted(entry(f"m{number}"))
