--- a/garnetrelay/store/compaction.py
+++ b/garnetrelay/store/compaction.py
@@ -204,32 +204,41 @@
         notice waits for it. A full folder is compacted before and meanwhile.
         """
         self._mark_pending_unrecorded()
+        if self._accepts_records() and self._make_room_for_retry() and self._rewrite_messages():
+            self._failure_logged = False
+            log.warning("journal: the folder takes records again")
+
+    def _accepts_records(self) -> bool:
+        """Whether the folder accepts a record, or would if it were not full. Otherwise compaction would fail as well."""
         self.write_failed = False
         if (self._handle is None or self._torn_tail and not self._truncate_torn_tail()) and not self._begin_segment():
             self.write_failed = True
-            return
+            return False
+        return self._append(fmt.NOTE_RECORD) or self._is_full(fmt.NOTE_RECORD)
+
+    def _make_room_for_retry(self) -> bool:
+        """Compacts a full folder. The rests come first, since compaction may remove their earlier records; in a folder
+        too full for them they come behind it."""
         rests_recorded = self._rewrite_rests()
         if self._torn_tail:
-            return
+            return False
         self.write_failed = False
         self._make_room()
-        if not rests_recorded and not self._rewrite_rests():
-            return
-        if not self.unrecorded and not self._pending and not self.write_failed:
-            self._append(fmt.NOTE_RECORD)
+        return rests_recorded or self._rewrite_rests()
+
+    def _rewrite_messages(self) -> bool:
+        """Writes the states of all messages with unrecorded changes; whether that succeeded."""
         for ref in sorted(self.unrecorded, key=self._state_size):
             if self.write_failed:
-                return
+                return False
             self.unrecorded.discard(ref)
             self._rewrite(ref)
             if len(self._pending) >= compaction_policy.MIN_STEP_BYTES:
                 self.flush()
-        if self.flush():
-            self._failure_logged = False
-            log.warning("journal: the folder takes records again")
+        return self.flush()
 
     def _rewrite_rests(self) -> bool:
-        """Writes all rests of keys; whether that succeeded. Before compaction: it may remove their earlier records."""
+        """Writes all rests of keys; whether that succeeded."""
         for key in list(self.index.rests):
             self._copy_rest(key)
         return self.flush()
--- a/garnetrelay/store/segment_log.py
+++ b/garnetrelay/store/segment_log.py
@@ -153,7 +153,7 @@
     def _append(self, data: bytes) -> bool:
         """Writes to the active segment; False if there is no room or the write fails."""
         active = self._active
-        if self._handle is None or self.used + len(data) > self.sizes.max_bytes + PARTIAL_BLOCK_BYTES:
+        if self._handle is None or self._is_full(data):
             self._fail("disk limit reached" if self._handle is not None else "no segment could be created")
             return False
         try:
@@ -170,6 +170,10 @@
         self._appended += len(data)
         return True
 
+    def _is_full(self, data: bytes) -> bool:
+        """Whether the disk limit leaves no room for these bytes."""
+        return self.used + len(data) > self.sizes.max_bytes + PARTIAL_BLOCK_BYTES
+
     def _fail(self, why: str) -> None:
         self.write_failed = True
         if not self._failure_logged:
--- a/tests/store/test_full_journal.py
+++ b/tests/store/test_full_journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import random
 from collections.abc import Callable
 
 import pytest
@@ -116,5 +117,50 @@
     assert "kept" in Store(disk.stopped(), DISK).entries
 
 
+@pytest.mark.parametrize("seed", range(30))
+def test_a_folder_that_takes_writes_again_records_all_ends(seed: int) -> None:
+    """Bodies of all sizes, notices acknowledged late or never, writes that fail for a while: once the folder takes writes
+    again, all is on record within a few steps, and a message is accepted again once notices are acknowledged."""
+    draw = random.Random(seed)
+    fails = {begin + n: errno.ENOSPC for begin in draw.sample(range(20, 900), 4) for n in range(draw.randrange(1, 25))}
+    disk = Disk(draw=draw, fails=fails, max_bytes=DISK)
+    store = Store(disk, DISK)
+    for number in range(600):
+        act(store, draw, number)
+        if draw.random() < 0.7:
+            store.flush()
+            store.maintain()
+    disk.fails.clear()
+    for _ in range(5):
+        store.flush()
+        store.maintain()
+    assert not store.write_failed and not store.unrecorded
+    states = {ref: (found.ended, found.attempts, len(found.body)) for ref, found in store.entries.items()}
+    after = Store(disk.stopped(), DISK)
+    assert {ref: (found.ended, found.attempts, len(found.body)) for ref, found in after.entries.items()} == states
+    for ref in list(after.entries):
+        after.record_end(ref, None)
+    assert after.flush() and after.has_room("another", "key", DISK // 10) and after.index.live <= DISK // 2
+
+
+def act(store: Store, draw: random.Random, number: int) -> None:
+    """Records a random change of a message."""
+    body = bytes(draw.choice((0, 100, 3000, 12_000)))
+    if draw.random() < 0.5 and store.has_room(f"m{number}", "key", len(body)):
+        store.record_accepted(entry(f"m{number}", body))
+    ref = draw.choice([*store.entries, None])
+    if ref is None:
+        return
+    found = store.entries[ref]
+    if found.ended is not None:
+        if draw.random() < 0.3:
+            store.record_notice_acknowledged(ref)
+    elif found.attempts < 6 and draw.random() < 0.5:
+        store.record_attempt(ref, "north", 1000)
+        store.record_outcome(ref, True)
+    else:
+        store.record_end(ref, draw.choice(("dead", "bounced", None)))
+
+
 def refuse(self: Disk, handle: int, data: bytes) -> None:
     raise OSError(errno.EIO, "input/output error")
