The list of hosts has a module of its own: host_table.py

Change: HostTable owns listed and delisted hosts, their destinations and what an update does to connections. No behaviour changes; three tests name the new place.

--- a/garnetrelay/attempt.py
+++ b/garnetrelay/attempt.py
@@ -16,6 +16,7 @@
 from garnetrelay.delivery.http.answers import Outcome
 from garnetrelay.delivery.http.connection import Exchange
 from garnetrelay.delivery.http.requests import call_request
+from garnetrelay.host_table import HostTable
 from garnetrelay.key_rests import KeyRests
 from garnetrelay.pending import PendingMessage
 from garnetrelay.recovery_stats import RecoveryStats
@@ -43,7 +44,7 @@
     key_rests: KeyRests
     recovery_stats: RecoveryStats
     owners: Owners | None  # None: no leases
-    listed: dict[str, io.HostEntry]  # by host
+    host_table: HostTable
     pending: dict[str, PendingMessage]  # by ref
 
     def post(self, event: io.Event) -> None:
@@ -103,7 +104,7 @@
 
     def set_epoch(self, owners: Owners) -> None:
         """Set the epoch to record, if this relay owns the host's destination."""
-        entry = self.relay.listed.get(self.host)
+        entry = self.relay.host_table.listed.get(self.host)
         ownership = None if entry is None else owners.ownership(entry.dest)
         if entry is not None and ownership is not None:
             self.destination, self.epoch = entry.dest, ownership.epoch
--- a/garnetrelay/handover/interface.py
+++ b/garnetrelay/handover/interface.py
@@ -13,6 +13,7 @@
 from garnetrelay.delivery.http.hosts import Hosts
 from garnetrelay.discovery.client import Discovery
 from garnetrelay.fronts.resp.server import Server
+from garnetrelay.host_table import HostTable
 from garnetrelay.pending import PendingMessage
 from garnetrelay.store.store import Store
 from starlingwick import interface as io
@@ -48,8 +49,7 @@
     server: Server
     discovery: Discovery
     pending: dict[str, PendingMessage]  # by ref
-    listed: dict[str, io.HostEntry]  # by host
-    delisted: dict[str, None]  # hosts that have left the list, the latest last
+    host_table: HostTable
     inbox: list[io.Event]  # events of the next tick
     finished: asyncio.Event  # set: this process may end
     serving: bool
--- a/garnetrelay/handover/sender.py
+++ b/garnetrelay/handover/sender.py
@@ -263,7 +263,7 @@
     def _state(self) -> p.State:
         relay = self.relay
         endpoints = []
-        for name, entry in relay.listed.items():
+        for name, entry in relay.host_table.listed.items():
             address = relay.hosts.addresses[name]
             endpoints.append(
                 p.Endpoint(
@@ -281,7 +281,7 @@
             relay.discovery.index,
             str(relay.config.discovery),
             endpoints,
-            list(relay.delisted),
+            list(relay.host_table.delisted),
             take_snapshot(relay.pacer),
             None if relay.fleet is None else relay.fleet.handover_state(),
         )
--- /dev/null
+++ b/garnetrelay/host_table.py
@@ -0,0 +1,67 @@
+"""The hosts that the list names or has named, and the addresses that calls to them use. No I/O of its own."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from garnetrelay.config.deployment import Address
+from garnetrelay.discovery.host_list import ListUpdate
+from starlingwick import interface as io
+
+MAX_DELISTED_HOSTS = 4096  # hosts that have left the list and are still known by name
+
+
+class HostConnections(Protocol):
+    """The connections to hosts."""
+
+    def set_address(self, host: str, address: Address, draining: bool) -> None:
+        """Set a host's address. Idle connections to another address of it, or to a draining host, are closed."""
+        ...
+
+    def remove(self, host: str) -> None:
+        """Forget a host's address and close its idle connections."""
+        ...
+
+
+class HostTable:
+    """The hosts of the current list, those that have left it, and their destinations."""
+
+    def __init__(self, connections: HostConnections) -> None:
+        self._connections = connections
+        self.listed: dict[str, io.HostEntry] = {}  # by host
+        self.delisted: dict[str, None] = {}  # hosts that have left the list, the latest last
+        self.destinations: set[int] = set()  # every destination that the list has ever named
+
+    def knows(self, host: str) -> bool:
+        """Whether the list names a host, or named it earlier."""
+        return host in self.listed or host in self.delisted
+
+    def restore_delisted(self, hosts: Iterable[str]) -> None:
+        """Take over the hosts that have left the list from a previous process, the latest last."""
+        self.delisted = dict.fromkeys(hosts)
+
+    def apply(self, update: ListUpdate) -> None:
+        """Update the hosts' addresses. Connections to hosts that drain or have left the list are closed."""
+        named = {entry.host for entry in update.entries}
+        removed = [host for host in self.listed if host not in named] if update.whole else []
+        for entry in update.entries:
+            if entry.availability is io.Availability.DELETED:
+                removed.append(entry.host)
+            else:
+                self._add(entry, update.addresses[entry.host])
+        for host in removed:
+            self._remove(host)
+
+    def _add(self, entry: io.HostEntry, address: Address) -> None:
+        self.listed[entry.host] = entry
+        self.delisted.pop(entry.host, None)
+        self.destinations.add(entry.dest)
+        self._connections.set_address(entry.host, address, entry.availability is io.Availability.STOPPING)
+
+    def _remove(self, host: str) -> None:
+        if self.listed.pop(host, None) is not None:
+            self.delisted[host] = None
+            if len(self.delisted) > MAX_DELISTED_HOSTS:
+                del self.delisted[next(iter(self.delisted))]
+        self._connections.remove(host)
--- a/garnetrelay/recovery.py
+++ b/garnetrelay/recovery.py
@@ -19,6 +19,7 @@
 from garnetrelay.discovery.host_list import ListReader, ListUpdate
 from garnetrelay.ends.held import EndNotice
 from garnetrelay.ends.notifier import EndNotifier
+from garnetrelay.host_table import HostTable
 from garnetrelay.key_rests import KeyRests
 from garnetrelay.pending import PendingMessage
 from garnetrelay.recorded_times import newest_attempt_ms, ran_ago
@@ -57,7 +58,7 @@
     discovery: Discovery
     handover: ReceivedHandover | None  # from the previous process; None once started, or if there was none
     class_numbers: dict[str, int]  # by a class's name
-    delisted: dict[str, None]  # hosts that have left the list, the latest last
+    host_table: HostTable
     pending: dict[str, PendingMessage]  # by ref
     recovering: deque[Entry]  # read from the journal, not yet restored
     restored: list[Entry]  # reported to the Pacer in the next tick
@@ -79,10 +80,6 @@
     def tick(self) -> None:
         """Let the Pacer decide on all queued events."""
 
-    @abstractmethod
-    def _apply_list_update(self, update: ListUpdate) -> None:
-        """Update the hosts' addresses."""
-
     @abstractmethod
     def _end(self, ref: str, result: str, wait_ms: int) -> None:
         """End a message with a result that the platform is notified of."""
@@ -94,7 +91,7 @@
             log.warning("the list of hosts in the configuration can't be read, starting without one: %s", error)
             return
         self.discovery.index = update.index
-        self._apply_list_update(update)
+        self.host_table.apply(update)
         self.inbox.append(io.Roster(io.ListScope.CACHED, update.entries))
 
     def _restore_handover(self, state: State) -> None:
@@ -103,11 +100,11 @@
         for e in state.endpoints:
             entries.append(io.HostEntry(e.name, e.zone, e.kind, e.dest, io.Availability(e.availability), e.rate))
             addresses[e.name] = Address(e.host, e.port)
-        self.delisted = dict.fromkeys(state.delisted)
+        self.host_table.restore_delisted(state.delisted)
         # A discovery service at another address may number its versions differently: it is asked for the whole list.
         self.discovery.index = state.index if state.discovery == str(self.config.discovery) else 0
         update = ListUpdate(state.index, True, tuple(entries), addresses)
-        self._apply_list_update(update)
+        self.host_table.apply(update)
         self.inbox.append(io.Roster(io.ListScope.CACHED, update.entries))
         self.tick()
         restore_snapshot(self.pacer, state.pacer_snapshot)
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -30,6 +30,7 @@
 from garnetrelay.ends.notifier import EndNotifier
 from garnetrelay.fronts.resp.requests import RejectedError, Request
 from garnetrelay.fronts.resp.server import Reply, Server
+from garnetrelay.host_table import HostTable
 from garnetrelay.key_rests import KeyRests
 from garnetrelay.loop_lag import LoopLag
 from garnetrelay.pending import NewRequest, PendingMessage
@@ -59,7 +60,6 @@
 SECOND = 1_000_000_000
 MAINTENANCE_INTERVAL_S = 0.005  # between two steps of compaction while no tick runs
 WRITE_RETRY_INTERVAL_S = 0.25  # until the next write to a folder that accepts no records
-MAX_DELISTED_HOSTS = 4096  # hosts that have left the list and are still known by name
 DEADLINE_MARGIN_NS = SECOND // 10  # an end that the deadline causes comes at most this long before it
 
 
@@ -84,15 +84,12 @@
         )
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
         self.key_rests = KeyRests(config.settings, self.class_numbers, boot_id())
-        self.listed: dict[str, io.HostEntry] = {}  # by host
-        self.delisted: dict[str, None] = {}  # hosts that have left the list, the latest last
         self.counts = Counters(config.class_names)
         self.operators: OperatorService | None = None
         self.fleet: Fleet | None = None
         self.owners: Owners | None = None  # None: no leases
         self.handover_sender: HandoverSender | None = None
         self.predecessor: PredecessorLink | None = None
-        self.dests: set[int] = set()  # every destination that the list has ever named
         self.pending: dict[str, PendingMessage] = {}
         self.recovery_stats = RecoveryStats()
         self.recovering: deque[Entry] = deque()  # read from the journal, not yet restored
@@ -121,6 +118,7 @@
             self.journal.when_recorded,
             config.machine_durable,
         )
+        self.host_table = HostTable(self.hosts)
         self.server = Server(
             self.on_request,
             self._remaining_client_connections,
@@ -257,7 +255,7 @@
         return Gauges(
             attempts=self.hosts.calls_written,
             in_flight=sum(not message.ended for message in self.pending.values()) + len(self.recovering),
-            hosts_known=len(self.listed),
+            hosts_known=len(self.host_table.listed),
             hosts_excluded=self.pacer.count_avoided_hosts(),
             reloads_ok=self.counts.reloads_ok,
             reloads_failed=self.counts.reloads_failed,
@@ -269,7 +267,7 @@
 
     def knows_host(self, host: str) -> bool:
         """Whether the list names a host, or named it earlier."""
-        return host in self.listed or host in self.delisted
+        return self.host_table.knows(host)
 
     # ---- start
 
@@ -306,7 +304,7 @@
         """A client submits a message. It is answered within the next tick."""
         if request.klass not in self.class_numbers:
             raise RejectedError(f"unknown class '{request.klass[:40]}'")
-        if request.dest not in self.dests:
+        if request.dest not in self.host_table.destinations:
             # The list from the start may be outdated: a destination that it lacks may exist.
             if not self.discovery.up_to_date:
                 self.counts.refused[request.klass] += 1
@@ -349,7 +347,7 @@
         if update is None:
             self.post(io.Roster(io.ListScope.FAILED, ()))
             return
-        self._apply_list_update(update)
+        self.host_table.apply(update)
         scope = io.ListScope.WHOLE if update.whole else io.ListScope.CHANGES
         self.post(io.Roster(scope, update.entries, update.current))
 
@@ -360,26 +358,6 @@
             self.hosts.close_idle(host)
         self.post(io.Excluded(host, out))
 
-    def _apply_list_update(self, update: ListUpdate) -> None:
-        """Update the hosts' addresses. Connections to hosts that drain or have left the list are closed."""
-        named = {entry.host for entry in update.entries}
-        removed = [host for host in self.listed if host not in named] if update.whole else []
-        for entry in update.entries:
-            if entry.availability is io.Availability.DELETED:
-                removed.append(entry.host)
-                continue
-            self.listed[entry.host] = entry
-            self.delisted.pop(entry.host, None)
-            self.dests.add(entry.dest)
-            draining = entry.availability is io.Availability.STOPPING
-            self.hosts.set_address(entry.host, update.addresses[entry.host], draining)
-        for host in removed:
-            if self.listed.pop(host, None) is not None:
-                self.delisted[host] = None
-                if len(self.delisted) > MAX_DELISTED_HOSTS:
-                    del self.delisted[next(iter(self.delisted))]
-            self.hosts.remove(host)
-
     def post(self, event: io.Event) -> None:
         """Queue an event for the next tick, which runs once the loop has read everything that is ready on the
         sockets: all of it forms one batch."""
@@ -565,7 +543,7 @@
         if message is None:  # it was not accepted after all: the Pacer needs an outcome for this attempt too
             self.post(io.Verdict(send.call, 0, send.host, io.Status.ABANDONED, 0, True, 0, False, None))
             return
-        entry = self.listed.get(send.host)
+        entry = self.host_table.listed.get(send.host)
         message.sent_at, message.zone = self.pacer.now, -1 if entry is None else entry.zone
         attempt = Attempt(self, message, send.host, message.attempts, self.pacer.now, send.stop_at)
         message.attempts += 1
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -14,9 +14,9 @@
 import pytest
 from sortedcontainers import SortedList  # type: ignore[import-untyped]
 
+from garnetrelay.host_table import MAX_DELISTED_HOSTS
 from garnetrelay.rehearsal.http import Call
 from garnetrelay.rehearsal.scripted_peers import Watch
-from garnetrelay.relay import MAX_DELISTED_HOSTS
 from starlingwick import interface as io
 from starlingwick.control import Pacer
 from tests.helpers import KEYED, MS, ORDERED, SAFE, UNSAFE, Relay, S, entry
@@ -34,7 +34,7 @@
 )
 # Tables that the test of the relay does not wait for: the first four cover some seconds of traffic, which the test of the
 # Pacer alone lets elapse, and the last is limited to MAX_DELISTED_HOSTS.
-BOUNDED = {"Destination.arrived", "Destination.sent", "Destination.served", "Pacer.expiry", "Relay.delisted"}
+BOUNDED = {"Destination.arrived", "Destination.sent", "Destination.served", "Pacer.expiry", "HostTable.delisted"}
 MAX_EXTRA_ELEMENTS = 64  # elements that may lag behind, such as expired entries in heaps that are not yet cleaned up
 
 
@@ -125,7 +125,7 @@
         if n % 4 == 0:
             new, old = f"s-{n}", f"s-{n - 4}"
             watch.line(host_list_json(n, endpoint(field.host, new), endpoint(field.host, old, "Gone")))
-            await until(lambda: new in relay.listed and old not in relay.listed)  # noqa: B023
+            await until(lambda: new in relay.host_table.listed and old not in relay.host_table.listed)  # noqa: B023
         client = await Client.connect(field.port)
         refusals = 0
         while await client.enqueue(f"m{n}-{refusals}", "unsafe" if n % 5 == 0 else "keyed") != b"OK":
@@ -149,5 +149,5 @@
     before = sizes(relay)
     await submit(field, watch, 400, 200)
     after = sizes(relay)
-    assert after["Relay.delisted"] < MAX_DELISTED_HOSTS
+    assert after["HostTable.delisted"] < MAX_DELISTED_HOSTS
     assert not growth(before, after).keys() - BOUNDED
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -146,7 +146,7 @@
         watch.line(host_list_json(42, malformed, endpoint(field.host, status="Terminating")))
     relay = field.relays[0]
     await until(lambda: not relay.pacer.hosts["s-1"][1].usable)
-    assert relay.discovery.index == 41 and "s-9" not in relay.listed
+    assert relay.discovery.index == 41 and "s-9" not in relay.host_table.listed
 
 
 async def test_an_old_version_after_a_newer_one_undoes_nothing(field: Field) -> None:
