Handover: what is sent has a module of its own, transfer.py

Cause: HandoverSender._transfer built and sent three kinds of frames in one function of sixty lines, in a module of 390.

The frames are the same.

--- a/garnetrelay/handover/sender.py
+++ b/garnetrelay/handover/sender.py
@@ -10,21 +10,17 @@
 import socket
 import sys
 import time
-from collections.abc import Iterable, Iterator
 from pathlib import Path
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING
 
 from garnetrelay.handover import protocol as p
 from garnetrelay.handover.channel import Channel, ChannelError, HandoverSocket
+from garnetrelay.handover.transfer import calls_in_flight, handover_state, send_connections
 from starlingwick import interface as io
 from starlingwick.queues import NEVER
-from starlingwick.snapshot import take_snapshot
 
 if TYPE_CHECKING:
-    from garnetrelay.delivery.http import connection as net
-    from garnetrelay.fronts.resp import server as front
     from garnetrelay.handover.interface import HandoverRelay
-    from garnetrelay.pending import PendingMessage
 
 log = logging.getLogger(__name__)
 
@@ -33,12 +29,9 @@
 QUIESCE_POLL_S = 0.005
 TAKEN_TIMEOUT_S = 6.0  # from the last frame until the new process must serve
 OPERATOR_PERIOD_S = 10.0  # for which this process serves operators after that
-MAX_FRAME_CONNECTIONS = 32  # in one frame: at most so many are open in both processes at once
 
 MESSAGE_OVERHEAD_BYTES = 3000  # upper bound of a pending message's memory besides its body
 
-T = TypeVar("T")
-
 
 def resident_bytes(process: int) -> int:
     """The resident memory of a process; 0 if it can't be read."""
@@ -172,7 +165,7 @@
         await asyncio.sleep(0)
         while self._is_busy() and time.monotonic() < end or relay.sync_worker is not None and relay.sync_worker.running:
             await asyncio.sleep(QUIESCE_POLL_S)
-        for _, exchange in list(_calls_in_flight(relay.pending.values())):
+        for _, exchange in list(calls_in_flight(relay.pending.values())):
             if exchange.connection is None:
                 exchange.abandon()
             elif not exchange.connection.can_hand_over:
@@ -183,7 +176,7 @@
         relay = self.relay
         return bool(relay.tick_scheduled or relay.unrecorded_ticks or relay.hosts.opening) or any(
             exchange.connection is None or not exchange.connection.can_hand_over
-            for _, exchange in _calls_in_flight(relay.pending.values())
+            for _, exchange in calls_in_flight(relay.pending.values())
         )
 
     def _run_final_ticks(self) -> bool:
@@ -209,45 +202,10 @@
         relay.retire()
         claim = relay.journal.hand_over()
         try:
-            channel.send(self._state(), [claim, listener.fileno()])
+            channel.send(handover_state(relay), [claim, listener.fileno()])
             os.close(claim)
             claim = -1
-            for clients in _batches(relay.server.connections_to_hand_over()):
-                channel.send(
-                    p.Clients([p.ClientConnection(bytes(one.raw), one.has_sent_command) for one in clients]),
-                    _descriptors(clients),
-                )
-                for one in clients:
-                    one.close_after_handover()
-            for idle in _batches(relay.hosts.connections_to_hand_over()):
-                channel.send(
-                    p.IdleHosts([p.IdleConnection(one.host, one.address.host, one.address.port) for one in idle]),
-                    _descriptors(idle),
-                )
-                for connection in idle:
-                    connection.close_after_handover()
-            for calls in _batches(_calls_to_hand_over(relay.pending.values())):
-                connections = [connection for _, _, connection in calls]
-                channel.send(
-                    p.Calls(
-                        [
-                            p.CallInFlight(
-                                message.ref,
-                                connection.host,
-                                connection.address.host,
-                                connection.address.port,
-                                message.zone,
-                                message.sent_at,
-                                exchange.stop_at,
-                                connection.used,
-                            )
-                            for message, exchange, connection in calls
-                        ]
-                    ),
-                    _descriptors(connections),
-                )
-                for connection in connections:
-                    connection.close_after_handover()
+            send_connections(channel, relay)
             channel.send(p.End())
         except ChannelError as error:
             log.error("upgrade: the transfer failed: %s", error)
@@ -260,32 +218,6 @@
         relay.pending.clear()
         return step
 
-    def _state(self) -> p.State:
-        relay = self.relay
-        endpoints = []
-        for name, entry in relay.host_table.listed.items():
-            address = relay.hosts.addresses[name]
-            endpoints.append(
-                p.Endpoint(
-                    name,
-                    entry.zone,
-                    entry.kind,
-                    entry.dest,
-                    entry.availability.value,
-                    entry.rate,
-                    address.host,
-                    address.port,
-                )
-            )
-        return p.State(
-            relay.discovery.index,
-            str(relay.config.discovery),
-            endpoints,
-            list(relay.host_table.delisted),
-            take_snapshot(relay.pacer),
-            None if relay.fleet is None else relay.fleet.handover_state(),
-        )
-
     # ---- after the transfer
 
     async def _follow_new_process(self, channel: Channel) -> None:
@@ -361,29 +293,3 @@
                 self._on_frame(frame)
         except ChannelError:
             return "the new process does not answer"
-
-
-def _batches(items: Iterable[T]) -> Iterator[list[T]]:
-    every = list(items)
-    for start in range(0, len(every), MAX_FRAME_CONNECTIONS):
-        yield every[start : start + MAX_FRAME_CONNECTIONS]
-
-
-def _descriptors(connections: Iterable[front.Connection] | Iterable[net.Connection]) -> list[int]:
-    return [connection.descriptor for connection in connections]
-
-
-def _calls_in_flight(messages: Iterable[PendingMessage]) -> Iterator[tuple[PendingMessage, net.Exchange]]:
-    for message in list(messages):
-        if message.exchange is not None:
-            yield message, message.exchange
-
-
-def _calls_to_hand_over(
-    messages: Iterable[PendingMessage],
-) -> Iterator[tuple[PendingMessage, net.Exchange, net.Connection]]:
-    """Calls that the new process takes over. The call of a message that has ended meanwhile is not among them: its
-    connection is closed."""
-    for message, exchange in _calls_in_flight(messages):
-        if not message.ended and exchange.connection is not None and exchange.connection.can_hand_over:
-            yield message, exchange, exchange.connection
