A repeat of a request waits for its first copy's record; probes in their own module

Cause: under durability = "machine" a client's repeat of a request that was not synced yet heard +OK at once: an acceptance that a power loss could undo.

--- a/garnetrelay/ends/notifier.py
+++ b/garnetrelay/ends/notifier.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import time
+from typing import NamedTuple
 
 from garnetrelay.ends.held import EndNotice, HeldNotices
 from garnetrelay.fronts.resp.server import Reply
@@ -20,6 +21,13 @@
 SECOND = 1_000_000_000
 
 
+class HeldRefusal(NamedTuple):
+    """A refused request whose client is not told yet."""
+
+    ref: str
+    reply: Reply
+
+
 class EndNotifier:
     """The ends that are decided and not yet passed on. Used on the loop's thread."""
 
@@ -28,7 +36,7 @@
         self._notices = notices
         self._added: list[EndNotice] = []
         self._held = HeldNotices()
-        self._held_refusals: dict[str, Reply] = {}  # by ref of the request
+        self._held_refusals: list[HeldRefusal] = []
         self._timer: asyncio.TimerHandle | None = None
         self._waiting = False  # for the journal to call back
 
@@ -64,7 +72,7 @@
         If the journal may hold the record all the same, the client is not told before the withdrawal is on record: a
         refused request may be submitted elsewhere, and must not be found by the next process."""
         if self._journal.keeps_failed_records:
-            self._held_refusals[ref] = reply
+            self._held_refusals.append(HeldRefusal(ref, reply))
         else:
             reply.busy(0)
 
@@ -93,8 +101,10 @@
         unrecorded = self._journal.unrecorded
         for notice in self._held.take_recorded(unrecorded):
             self._add_notice(notice)
-        for ref in [ref for ref in self._held_refusals if ref not in unrecorded]:
-            self._held_refusals.pop(ref).busy(0)
+        for refusal in self._held_refusals:
+            if refusal.ref not in unrecorded:
+                refusal.reply.busy(0)
+        self._held_refusals = [refusal for refusal in self._held_refusals if refusal.ref in unrecorded]
         self._notices.send()
 
     def _schedule(self) -> None:
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -20,10 +20,7 @@
 from garnetrelay.boot import boot_id
 from garnetrelay.config.deployment import Address, Config
 from garnetrelay.counters import Counters
-from garnetrelay.delivery.http.answers import Outcome
-from garnetrelay.delivery.http.connection import Exchange
 from garnetrelay.delivery.http.hosts import Hosts, PreparedCall
-from garnetrelay.delivery.http.requests import probe_request
 from garnetrelay.discovery.client import Discovery
 from garnetrelay.discovery.host_list import ListReader, ListUpdate
 from garnetrelay.ends.held import EndNotice
@@ -35,6 +32,7 @@
 from garnetrelay.loop_lag import LoopLag
 from garnetrelay.pending import NewRequest, PendingMessage
 from garnetrelay.platform.notices import Notices
+from garnetrelay.probe import probe_exchange
 from garnetrelay.recovery import Recovery, monotonic_deadline
 from garnetrelay.recovery_stats import RecoveryStats
 from garnetrelay.shutdown import Shutdown
@@ -320,8 +318,8 @@
             self.counts.refused[request.klass] += 1
             reply.busy(0)
             return
-        if request.ref in self.pending or request.ref in self.journal.entries:
-            reply.ok()  # already accepted; the notice of its end may not be acknowledged yet
+        if self._is_accepted(request.ref):
+            self.journal.when_recorded(functools.partial(self._answer_repeat, request.ref, reply))
             return
         if request.ref in self.new_requests:
             reply.busy(0)
@@ -342,6 +340,18 @@
             )
         )
 
+    def _is_accepted(self, ref: str) -> bool:
+        """Whether a message was accepted, and is pending or the notice of its end is not acknowledged yet."""
+        return ref in self.pending or ref in self.journal.entries
+
+    def _answer_repeat(self, ref: str, reply: Reply, recorded: bool) -> None:
+        """Answer a request for a message that was accepted before. Its record may have been as young as the request, and
+        may have failed since."""
+        if recorded or self._is_accepted(ref):
+            reply.ok()
+        else:
+            self.ends.refuse(ref, reply)
+
     def on_list_update(self, update: ListUpdate | None) -> None:
         """The list of hosts has changed; None: the watch has failed."""
         if update is None:
@@ -512,7 +522,7 @@
                 if message is not None and message.exchange is not None and message.attempts == attempt + 1:
                     message.exchange.give_up(io.Status.CANCELLED)
             case io.Probe():
-                self._probe(action)
+                self.hosts.begin(probe_exchange(self, action))
             case io.Close(host):
                 self.hosts.close_idle(host)
             case io.Wake(after, token):
@@ -550,20 +560,6 @@
         message.exchange = attempt.exchange()
         self.hosts.begin(message.exchange)
 
-    def _probe(self, probe: io.Probe) -> None:
-        started = self.pacer.now
-
-        def final_check() -> bool:
-            return self.pacer.clear_to_send(time.monotonic_ns(), None, probe.host)
-
-        def prepare(address: Address) -> bytes | None:
-            return probe_request(address, self.config.load_reports) if final_check() else None
-
-        def done(outcome: Outcome) -> None:
-            self.post(io.Probed(probe.host, outcome.status, time.monotonic_ns() - started, outcome.report))
-
-        self.hosts.begin(Exchange(probe.host, probe.stop_at, prepare, done, final_check))
-
     # ---- ends of messages
 
     def _on_notice_acknowledged(self, ref: str) -> None:
--- a/tests/store/test_store_in_relay.py
+++ b/tests/store/test_store_in_relay.py
@@ -14,7 +14,7 @@
 from garnetrelay.store.reading import load as load_folder
 from garnetrelay.store.segment_log import Sync
 from garnetrelay.store.storage import Folder
-from tests.sockets import Field, until
+from tests.sockets import Client, Field, until
 
 
 @pytest.mark.parametrize("number", [errno.ENOSPC, errno.EIO, errno.EROFS])
@@ -65,11 +65,14 @@
     client = await field.start()
     client.write("ENQUEUE", "0000", "m1", "c=unsafe,d=8000,k=k,dest=3", b"x")
     await until(lambda: "m1" in field.relays[0].pending)
+    # The client's repeat of the request on another connection waits as well.
+    repeat = asyncio.create_task((await Client.connect(field.port)).enqueue("m1", "unsafe"))
+    await until(lambda: len(field.relays[0].server.connections) == 2)
     for _ in range(50):
         await asyncio.sleep(0)
-    assert field.host.calls.empty() and not synced
+    assert field.host.calls.empty() and not synced and not repeat.done()
     gate.set()
-    assert await client.read() == b"OK"
+    assert await client.read() == b"OK" and await repeat == b"OK"
     call = await field.host.next_call()
     assert any("m1" in each for each in synced)
     call.answer(500)
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -47,7 +47,7 @@
     ("garnetrelay.handover", "garnetrelay.ends"),
     ("garnetrelay.operators",),
     ("garnetrelay.fleet",),
-    ("garnetrelay.attempt", "garnetrelay.recovery", "garnetrelay.shutdown"),
+    ("garnetrelay.attempt", "garnetrelay.probe", "garnetrelay.recovery", "garnetrelay.shutdown"),
     ("garnetrelay.relay", "garnetrelay.simulation", "starlingwick.wirehost"),
     ("garnetrelay.daemon",),
     ("garnetrelay.__main__", "garnetrelay.rehearsal"),
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -588,7 +588,7 @@
     watch = await field.platform.next_watch()
     callbacks: list[Any] = []
     relay.hosts.when_recorded = callbacks.append
-    relay._probe(io.Probe("s-1", 1 << 62))
+    relay._execute(io.Probe("s-1", 1 << 62))
     await until(lambda: bool(callbacks))
     watch.line(host_list_json(42, endpoint(field.host, status="Terminating")))
     await until(lambda: not relay.pacer.hosts["s-1"][1].usable)
