--- a/garnetrelay/key_rests.py
+++ b/garnetrelay/key_rests.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+import functools
+from collections.abc import Callable, Iterable, Mapping
 
 from garnetrelay.store.format import KeyRest
 from starlingwick import interface as io
@@ -16,12 +17,16 @@
 
 
 class KeyRests:
-    """The rests of one relay. ``boot`` identifies the current boot of the machine."""
+    """The rests of one relay. ``read_boot`` identifies the current boot of the machine; called once a rest is known."""
 
-    def __init__(self, settings: io.Settings, class_numbers: Mapping[str, int], boot: bytes) -> None:
+    def __init__(self, settings: io.Settings, class_numbers: Mapping[str, int], read_boot: Callable[[], bytes]) -> None:
         self._gap = settings.rules.turn_gap
         self._ordered = {name for name, number in class_numbers.items() if settings.classes[number].in_turn}
-        self._boot = boot
+        self._read_boot = read_boot
+
+    @functools.cached_property
+    def _boot(self) -> bytes:
+        return self._read_boot()
 
     def after(self, klass: str, key: str | None, status: io.Status, now: int) -> KeyRest | None:
         """The rest to record as an attempt ends with a status at ``now`` (monotonic clock, nanoseconds); None if there is
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -81,7 +81,7 @@
             config.fleet is not None and config.fleet.leases is not None,
         )
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
-        self.key_rests = KeyRests(config.settings, self.class_numbers, boot_id())
+        self.key_rests = KeyRests(config.settings, self.class_numbers, boot_id)
         self.counts = Counters(config.class_names)
         self.operators: OperatorService | None = None
         self.fleet: Fleet | None = None
--- a/tests/test_key_rests.py
+++ b/tests/test_key_rests.py
@@ -78,7 +78,7 @@
 
 
 def rests(gap_s: int = GAP_S, boot: bytes = BOOT) -> KeyRests:
-    return KeyRests(settings(rules={"turn_gap": gap_s * S}), {"safe": 0, "ordered": 3}, boot)
+    return KeyRests(settings(rules={"turn_gap": gap_s * S}), {"safe": 0, "ordered": 3}, lambda: boot)
 
 
 def test_only_attempts_that_may_go_on_and_ordered_classes_rest() -> None:
