An old process that carries on after a failed upgrade keeps what either was told

From the take-over on the old process carries on by executing its program anew, which began with the list of the configuration's file: drains, hosts gone, waits and outages died with the new process.

Change: the state that is handed over is also kept in a file in memory that both processes hold, and the new one appends what it learns; the old one takes it across its execve. HELLO asks for the record, so processes of before neither get nor miss it. Why it works: a write there is done when it returns, and neither a kill of the writer nor an execve undoes it.

--- a/garnetrelay/daemon.py
+++ b/garnetrelay/daemon.py
@@ -16,6 +16,7 @@
 from garnetrelay.store.store import StoreError
 
 if TYPE_CHECKING:
+    from garnetrelay.handover.protocol import State
     from garnetrelay.handover.receiver import ReceivedHandover
     from garnetrelay.store.preload import Preloaded
 
@@ -68,9 +69,24 @@
     return dataclasses.replace(config, discovery=discovery), handover, preloaded
 
 
+def restore_inherited(config: Config) -> tuple[Config, State | None]:
+    """What this process knew before it started again because its successor died, with the address of discovery that its
+    successor had moved to; None if it has not started again."""
+    if config.operators is None:
+        return config, None
+    from garnetrelay.handover import receiver, state_record  # only where operators may upgrade the relay
+
+    state = state_record.inherited_state(os.environ)
+    if state is None:
+        return config, None
+    discovery = receiver.discovery_address(state.discovery, config.discovery, reload(os.environ).discovery)
+    return dataclasses.replace(config, discovery=discovery), state
+
+
 async def serve(config: Config, early_sighups: list[int]) -> None:
     """Run the relay until a signal ends it. ``early_sighups``: the SIGHUPs received before the loop handles them."""
-    relay = Relay(*request_handover(config))
+    config, inherited = restore_inherited(config)
+    relay = Relay(*request_handover(config), inherited)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, relay.stop)
--- a/garnetrelay/handover/protocol.py
+++ b/garnetrelay/handover/protocol.py
@@ -3,9 +3,12 @@
 A frame is a length (4 bytes, big-endian), the number of descriptors that come with it (4 bytes), and a MessagePack array
 that begins with the frame's kind. The version is agreed on first: the new process names those that it speaks.
 
-    new  HELLO         old  STATE (claim, listener), CLIENTS, IDLE, CALLS in any number, END
+    new  HELLO         old  STATE (claim, listener, and the state record if HELLO asks for it), CLIENTS, IDLE, CALLS in
+                            any number, END
     new  TAKEN         old  EXCLUDE, answered by DONE, for each operator command that the old process receives
     new  BYE           the new process stops as it was told to: its end after that is no failure
+
+LEARNED is not sent: the new process appends it to the state record (``state_record.py``).
 """
 
 from __future__ import annotations
@@ -21,12 +24,14 @@
 HEAD = struct.Struct(">II")
 MAX_FRAME_BYTES = 64 << 20  # most of it is the list of hosts and what the Pacer knows of them
 MAX_DESCRIPTORS = 64  # in one frame; Linux accepts 253
+STATE_DESCRIPTORS = (2, 3)  # that come with STATE: without and with the state record
 
 
 class Hello(msgspec.Struct, array_like=True, tag="hello"):
     """The new process has read its configuration and asks for the relay."""
 
     versions: list[int]
+    keeps_record: bool = False  # it appends to the state record; processes of before that ask for none
 
 
 class Refused(msgspec.Struct, array_like=True, tag="refused"):
@@ -59,6 +64,16 @@
     fleet: dict[str, Any] | None = None  # this relay's state as a member, which the new process continues
 
 
+class Learned(msgspec.Struct, array_like=True, tag="learned"):
+    """What the new process was told or has learned since the state or the previous frame of this kind."""
+
+    index: int
+    discovery: str
+    whole: bool = False  # ``endpoints`` is the whole list; else these entries of it have changed
+    endpoints: list[Endpoint] = msgspec.field(default_factory=list)
+    destinations: list[dict[str, Any]] = msgspec.field(default_factory=list)  # as in the Pacer's snapshot
+
+
 class ClientConnection(msgspec.Struct, array_like=True):
     """A client's connection: the bytes received of its next command, and whether it has sent any command yet."""
 
@@ -130,7 +145,7 @@
     """The new process stops as it was told to."""
 
 
-Frame = Hello | Refused | State | Clients | IdleHosts | Calls | End | Taken | Exclude | Done | Bye
+Frame = Hello | Refused | State | Learned | Clients | IdleHosts | Calls | End | Taken | Exclude | Done | Bye
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Frame)
@@ -252,7 +267,7 @@
             self.owner = Owner.NEW
             return ReceiverStep.TAKE_OVER
         if isinstance(frame, State):
-            if self.has_state or descriptors != 2:
+            if self.has_state or descriptors not in STATE_DESCRIPTORS:
                 return ReceiverStep.START_FROM_FOLDER
             self.has_state = True
             return ReceiverStep.READ
--- a/garnetrelay/handover/receiver.py
+++ b/garnetrelay/handover/receiver.py
@@ -8,16 +8,20 @@
 import logging
 import os
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from garnetrelay.config.deployment import Address
+from garnetrelay.discovery.host_list import ListUpdate
 from garnetrelay.handover import protocol as p
 from garnetrelay.handover.channel import FRAME_TIMEOUT_S, Channel, ChannelError, HandoverSocket
+from garnetrelay.handover.learned import LearnedRecorder, LearningRelay
+from garnetrelay.handover.state_record import StateRecord
 from garnetrelay.store.preload import Preloaded, preload_folder
 from garnetrelay.store.reading import segment_number
 from garnetrelay.store.storage import Folder
+from starlingwick import interface as io
 
 log = logging.getLogger(__name__)
 
@@ -35,6 +39,7 @@
     clients: list[tuple[p.ClientConnection, socket.socket]] = field(default_factory=list)
     idle: list[tuple[p.IdleConnection, socket.socket]] = field(default_factory=list)
     calls: dict[str, tuple[p.CallInFlight, socket.socket]] = field(default_factory=dict)
+    record: StateRecord | None = None  # None: the old process is of a version without one
 
     def confirm_taken(self) -> None:
         """Tell the old process that this one serves."""
@@ -53,6 +58,8 @@
         ):
             connection.close()
         os.close(self.claim)
+        if self.record is not None:
+            self.record.close()
         self.channel.close()
 
 
@@ -85,7 +92,7 @@
     handover: ReceivedHandover | None = None
     state, timeout = p.ReceiverState(), TRANSFER_START_TIMEOUT_S
     try:
-        channel.send(p.Hello([p.VERSION]))
+        channel.send(p.Hello([p.VERSION], keeps_record=True))
         while state.owner is p.Owner.OLD:
             frame, descriptors = channel.receive(timeout)
             timeout = FRAME_TIMEOUT_S
@@ -111,8 +118,9 @@
 ) -> ReceivedHandover:
     """Add a frame's content to the handover; the caller has checked its order and counts."""
     if isinstance(frame, p.State):
-        claim, listener = descriptors
-        return ReceivedHandover(channel, frame, claim, socket.socket(fileno=listener))
+        claim, listener, *shared = descriptors
+        record = StateRecord(shared[0]) if shared else None
+        return ReceivedHandover(channel, frame, claim, socket.socket(fileno=listener), record=record)
     assert handover is not None
     sockets = [socket.socket(fileno=descriptor) for descriptor in descriptors]
     match frame:
@@ -126,12 +134,16 @@
 
 
 class PredecessorLink:
-    """The connection to the old process, which forwards operator commands that exclude or include hosts."""
+    """The connection to the old process, which forwards operator commands that exclude or include hosts. As long as it is
+    open, that process starts again if this one dies: it finds in the state record what this one was told."""
 
-    def __init__(self, channel: Channel, exclude: Callable[[str, bool], str]) -> None:
+    def __init__(self, handover: ReceivedHandover, relay: LearningRelay, exclude: Callable[[str, bool], str]) -> None:
+        channel = handover.channel
         self._loop = asyncio.get_running_loop()
         self._channel: Channel | None = channel
         self._exclude = exclude
+        self._record = handover.record
+        self._recorder = None if self._record is None else LearnedRecorder(relay, self._record.append)
         self._loop.add_reader(channel.socket, self._read)
 
     def _read(self) -> None:
@@ -145,6 +157,16 @@
         except ChannelError:  # the old process has ended, as expected
             self._disconnect()
 
+    def on_list_update(self, update: ListUpdate) -> None:
+        """The list of hosts has changed."""
+        if self._recorder is not None:
+            self._recorder.on_list_update(update)
+
+    def on_tick(self, events: Iterable[io.Event]) -> None:
+        """The Pacer has handled a batch of events."""
+        if self._recorder is not None:
+            self._recorder.on_tick(events)
+
     def bye(self) -> None:
         """Tell the old process that this one stops and that its end is no failure."""
         if self._channel is not None:
@@ -154,6 +176,9 @@
 
     def _disconnect(self) -> None:
         channel, self._channel = self._channel, None
+        record, self._record, self._recorder = self._record, None, None
+        if record is not None:
+            record.close()
         if channel is not None:
             self._loop.remove_reader(channel.socket)
             channel.close()
--- a/garnetrelay/handover/sender.py
+++ b/garnetrelay/handover/sender.py
@@ -15,6 +15,7 @@
 
 from garnetrelay.handover import protocol as p
 from garnetrelay.handover.channel import Channel, ChannelError, HandoverSocket
+from garnetrelay.handover.state_record import StateRecord
 from garnetrelay.handover.transfer import calls_in_flight, handover_state, send_connections
 from starlingwick import interface as io
 from starlingwick.queues import NEVER
@@ -58,6 +59,7 @@
         self.state = p.SenderState()
         self.channel: Channel | None = None
         self.task: asyncio.Task[None] | None = None
+        self.record: StateRecord | None = None  # set once the relay is handed over
         self.restart_process = restart_process
         self.handover_socket = HandoverSocket(relay.config.state)
         self.listener = self.handover_socket.listen()
@@ -120,7 +122,7 @@
             self.channel = None
             await self.relay.server.listen(listener)
             return
-        step = self._transfer(channel, listener)
+        step = self._transfer(channel, listener, frame.keeps_record)
         self._execute(step)
         if step is p.SenderStep.WAIT:
             await self._follow_new_process(channel)
@@ -194,7 +196,7 @@
 
     # ---- the transfer
 
-    def _transfer(self, channel: Channel, listener: socket.socket) -> p.SenderStep:
+    def _transfer(self, channel: Channel, listener: socket.socket, keeps_record: bool) -> p.SenderStep:
         relay = self.relay
         step = self.state.on_transfer()
         if relay.predecessor is not None:
@@ -202,7 +204,10 @@
         relay.retire()
         claim = relay.journal.hand_over()
         try:
-            channel.send(handover_state(relay), [claim, listener.fileno()])
+            state = handover_state(relay)
+            self.record = StateRecord.create(state)
+            shared = [self.record.descriptor] if self.record is not None and keeps_record else []
+            channel.send(state, [claim, listener.fileno(), *shared])
             os.close(claim)
             claim = -1
             send_connections(channel, relay)
@@ -262,16 +267,22 @@
                     self.channel.receive()  # returns once the process has ended
                 except (ChannelError, ProcessLookupError):
                     pass
-                self.restart_process()
+                self._restart()
             case p.SenderStep.RESTART if self.relay.stopping:  # it was told to end during the handover
                 log.error("upgrade: failed while this process was told to end: the folder keeps what is pending")
                 self.relay.finished.set()
             case p.SenderStep.RESTART:
                 log.error("upgrade: starting anew from the folder")
-                self.restart_process()
+                self._restart()
             case _:
                 pass
 
+    def _restart(self) -> None:
+        """Start again, with all that this process and the new one were told or have learned."""
+        if self.record is not None:
+            self.record.leave_to_next_program(os.environ)
+        self.restart_process()
+
     def reload(self) -> None:
         """Pass a SIGHUP on to the new process, which owns the relay. It handles one at any time since before it asked for
         the relay. If it is gone, this process starts again from the folder, and reads the configuration as well."""
--- a/garnetrelay/recovery.py
+++ b/garnetrelay/recovery.py
@@ -57,6 +57,7 @@
     reader: ListReader
     discovery: Discovery
     handover: ReceivedHandover | None  # from the previous process; None once started, or if there was none
+    inherited: State | None  # from this process, which has started again; None once started, or if it has not
     class_numbers: dict[str, int]  # by a class's name
     host_table: HostTable
     pending: dict[str, PendingMessage]  # by ref
@@ -84,6 +85,16 @@
     def _end(self, ref: str, result: str, wait_ms: int) -> None:
         """End a message with a result that the platform is notified of."""
 
+    def _restore_knowledge(self) -> None:
+        """Restore what the relay knew of hosts: as handed over, else as this process left it, else as configured."""
+        state, self.inherited = self.inherited, None
+        if self.handover is not None:
+            state = self.handover.state
+        if state is None:
+            self._load_known_hosts()
+        else:
+            self._restore_handover(state)
+
     def _load_known_hosts(self) -> None:
         try:
             update = self.reader.read(self.config.known_hosts)
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -44,6 +44,7 @@
 
 if TYPE_CHECKING:
     from garnetrelay.fleet.service import Fleet
+    from garnetrelay.handover.protocol import State
     from garnetrelay.handover.receiver import PredecessorLink, ReceivedHandover
     from garnetrelay.handover.sender import HandoverSender
     from garnetrelay.operators.metrics import Gauges
@@ -65,10 +66,16 @@
     """One relay, from its start to its end."""
 
     def __init__(
-        self, config: Config, handover: ReceivedHandover | None = None, preloaded: Preloaded | None = None
+        self,
+        config: Config,
+        handover: ReceivedHandover | None = None,
+        preloaded: Preloaded | None = None,
+        inherited: State | None = None,
     ) -> None:
+        """``inherited``: what this process knew before it started again because its successor died."""
         self.config = config
         self.handover = handover
+        self.inherited = inherited
         self.settings = config.settings
         self.pacer = Pacer(config.settings, config.seed)
         self.journal = Store.open(
@@ -164,10 +171,11 @@
             )
             await self.fleet.start()
             self.owners = self.fleet.leases
-        if self.handover is None:
-            self._load_known_hosts()
-        else:
-            self._restore_handover(self.handover.state)
+        if self.handover is not None:
+            from garnetrelay.handover.receiver import PredecessorLink
+
+            self.predecessor = PredecessorLink(self.handover, self, self._exclude_for_predecessor)
+        self._restore_knowledge()
         if self.settings.discovery is io.Discovery.AUTOMATIC:
             self.inbox.append(io.WatchMissing())  # changes are pushed, but only on an open watch
         self._recover()
@@ -184,10 +192,7 @@
 
             self.handover_sender = HandoverSender(self)
         if self.handover is not None:
-            from garnetrelay.handover.receiver import PredecessorLink
-
             self.handover.confirm_taken()
-            self.predecessor = PredecessorLink(self.handover.channel, self._exclude_for_predecessor)
             self.handover = None
         return address
 
@@ -358,6 +363,8 @@
             self.post(io.Roster(io.ListScope.FAILED, ()))
             return
         self.host_table.apply(update)
+        if self.predecessor is not None:
+            self.predecessor.on_list_update(update)
         scope = io.ListScope.WHOLE if update.whole else io.ListScope.CHANGES
         self.post(io.Roster(scope, update.entries, update.current))
 
@@ -417,6 +424,8 @@
             )  # read after ``now``: time that passes in between closes repeat windows early, never late
             events += [self._recovered_event(entry, wall) for entry in restored]
         actions = self.pacer.handle(now, events)
+        if self.predecessor is not None:
+            self.predecessor.on_tick(events)
         new_requests = self._accept_new_requests({a.call for a in actions if isinstance(a, io.Refuse | io.Fail)})
         self.hosts.gather()
         for action in actions:
--- a/starlingwick/snapshot.py
+++ b/starlingwick/snapshot.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
 from typing import Any
 
@@ -52,29 +53,31 @@
 
 def take_snapshot(pacer: Pacer) -> dict[str, Any]:
     """What the Pacer learned, in values that every serialization supports."""
+    destinations = itertools.chain.from_iterable(pacer.routes.values())
     return {
         "version": VERSION,
         "started": pacer.started,
         "tenant_due": list(pacer.tenant_due),
         "turn_rest": dict(pacer.blocked_keys),
-        "destinations": [
-            {
-                **{name: getattr(dest, attribute) for name, attribute in DESTINATION_ATTRIBUTES.items()},
-                **{name: list(getattr(dest, name)) for name in EVENT_TIMES},
-                "hosts": {
-                    host.name: {name: getattr(host, attribute) for name, attribute in HOST_ATTRIBUTES.items()}
-                    for host in dest.hosts
-                },
-            }
-            for routes in pacer.routes.values()
-            for dest in routes
-            if dest.hosts
-        ],
+        "destinations": [destination_snapshot(dest) for dest in destinations if dest.hosts],
+    }
+
+
+def destination_snapshot(dest: Destination) -> dict[str, Any]:
+    """What the Pacer learned about one destination, or one of its routes, and its hosts."""
+    return {
+        **{name: getattr(dest, attribute) for name, attribute in DESTINATION_ATTRIBUTES.items()},
+        **{name: list(getattr(dest, name)) for name in EVENT_TIMES},
+        "hosts": {
+            host.name: {name: getattr(host, attribute) for name, attribute in HOST_ATTRIBUTES.items()}
+            for host in dest.hosts
+        },
     }
 
 
 def restore_snapshot(pacer: Pacer, snapshot: dict[str, Any]) -> None:
-    """Apply a snapshot. The list of hosts must be known already; hosts that are not listed are skipped."""
+    """Apply a snapshot. The list of hosts must be known already; hosts that are not listed are skipped. Of
+    several entries for one destination the last one counts."""
     if snapshot.get("version") != VERSION:
         return
     pacer.started = snapshot["started"]
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -79,6 +79,7 @@
     "garnetrelay.key_rests",
     "garnetrelay.recovery_stats",
     "garnetrelay.handover.protocol",
+    "garnetrelay.handover.learned",
 )
 PROGRAMS = ("starlingwick.wirehost",)  # under a name above, but a program that runs the decision logic
 OS_MODULES = frozenset(
