Clients that send many commands at once are served in turns

Cause: what callers saw: beside one client that sent PINGs at full speed, others had their answers after 309 ms in the median; beside four, 20 of 39 waited over 400 ms. asyncio reads up to 256 KB of a connection, and all commands in them, some 18,000, were handled before any other socket was looked at.

Change: one command is handled as it is read; a connection that has more waits, unread, in a queue that handles 32 commands in an iteration of the loop, one of each connection in turn. A read takes 4 KB, or what the command's announced lengths ask for. Log lines about clients have no line breaks of theirs.

--- a/garnetrelay/fronts/resp/client_error_log.py
+++ b/garnetrelay/fronts/resp/client_error_log.py
@@ -25,4 +25,5 @@
             text += f" ({self._suppressed} more like this not logged)"
             self._suppressed = 0
         self._times.append(now)
-        self._log.info("%s", text)
+        # A client's line break must not begin a line of the log.
+        self._log.info("%s", "".join(character if character.isprintable() else "?" for character in text))
--- a/garnetrelay/fronts/resp/commands.py
+++ b/garnetrelay/fronts/resp/commands.py
@@ -30,7 +30,12 @@
         self.unread = bytearray()  # the bytes behind the last command
         self._needed = 1  # a command cannot be complete with fewer bytes in ``unread``
 
-    def feed(self, data: bytes) -> None:
+    @property
+    def missing_bytes(self) -> int:
+        """How many more bytes the next command needs at least, as far as its announced lengths tell."""
+        return max(0, self._needed - len(self.unread))
+
+    def feed(self, data: bytes | memoryview) -> None:
         """Add received bytes."""
         self.unread += data
 
--- a/garnetrelay/fronts/resp/listener.py
+++ b/garnetrelay/fronts/resp/listener.py
@@ -22,7 +22,7 @@
 class Listener:
     """``make_connection`` returns the protocol of an accepted connection; ``on_closed`` is called when it has closed."""
 
-    def __init__(self, make_connection: Callable[[], asyncio.Protocol], on_closed: Callable[[], None]) -> None:
+    def __init__(self, make_connection: Callable[[], asyncio.BaseProtocol], on_closed: Callable[[], None]) -> None:
         self.make_connection = make_connection
         self.on_closed = on_closed
         self.ended = False  # nothing more is accepted, also from the queue
--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -6,17 +6,18 @@
 import logging
 import select
 import socket
-import struct
 from collections import deque
 from collections.abc import Callable
 from typing import cast
 
 from garnetrelay.fronts.resp.client_error_log import ClientErrorLog
+from garnetrelay.fronts.resp.command_queue import CommandQueue
 from garnetrelay.fronts.resp.commands import CommandReader, ProtocolError
 from garnetrelay.fronts.resp.listener import Listener
 from garnetrelay.fronts.resp.request_memory import RequestMemory
 from garnetrelay.fronts.resp.requests import RejectedError, parse_enqueue
 from garnetrelay.fronts.resp.requests import Request as Request
+from garnetrelay.fronts.resp.tcp_state import TcpState, read_tcp_state
 
 log = logging.getLogger(__name__)
 
@@ -28,7 +29,7 @@
 MAX_LINGER_S = 5.0  # for a rejected client that goes on sending
 MAX_REJECTED_CONNECTIONS = 16  # connections over the limit that stay open until the client has read the rejection
 LAST_ANSWER_READ_S = 0.25  # time for a client to read its last answer: it waits at most 0.4 s for one
-TCP_INFO_LAST_DATA = struct.Struct("=52xI")  # tcpi_last_data_recv: milliseconds since the kernel received data
+MIN_READ_BYTES, MAX_READ_BYTES = 4 * 1024, 64 * 1024  # in one read: as many as the next command needs
 MAX_UNREAD_ANSWER_BYTES = 16 * 1024  # of a client that does not read its answers: no further command is handled
 
 
@@ -70,8 +71,8 @@
 Handler = Callable[[Request, Reply], None]
 
 
-class Connection(asyncio.Protocol):
-    """One client's connection."""
+class Connection(asyncio.BufferedProtocol):
+    """One client's connection. One command is handled as it is read, more than one in turns with other clients'."""
 
     def __init__(self, server: Server, inherited: tuple[bytes, bool] | None = None) -> None:
         self.server = server
@@ -83,6 +84,7 @@
         self.closing = False
         self.rejected = False  # closing because of an error, which is written behind the answers that are still open
         self.at_eof = False  # the client sends nothing more
+        self.received_at = 0.0  # when the last bytes were read
         self.answers_unread = False  # the client does not read its answers
         self.last_active_at = 0.0  # when the last byte was received, or the last request answered
         self.timer: asyncio.TimerHandle | None = None
@@ -116,7 +118,7 @@
         if raw or not has_sent_command:
             self._start_command_timer()
         if raw:
-            self.data_received(raw)
+            self.receive(raw)
 
     @property
     def raw(self) -> bytearray:
@@ -142,6 +144,7 @@
     def close_after_handover(self) -> None:
         """Close this process's copy of a connection that another process has taken over, without writing to it."""
         self.closing = True
+        self._drop_unhandled()
         self._stop_timer()
         self.server.untrack(self)
         if self.transport is not None:
@@ -149,6 +152,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.lost = True
+        self._drop_unhandled()
         self._stop_timer()
         self.server.untrack(self)
 
@@ -188,38 +192,79 @@
     def resume_writing(self) -> None:
         self.answers_unread = False
         if self.transport is not None and not self.closing and not self.server.ended:
-            self.transport.resume_reading()
-            self._handle_commands()
+            self._wait_for_turn()
 
-    def data_received(self, data: bytes) -> None:
-        self.last_active_at = self.server.now()
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where to read the next bytes: a buffer that all connections share."""
+        size = MAX_READ_BYTES if self.closing else self.reader.missing_bytes
+        return self.server.read_buffer[: min(MAX_READ_BYTES, max(MIN_READ_BYTES, size))]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.receive(self.server.read_buffer[:nbytes])
+
+    def receive(self, data: bytes | memoryview) -> None:
+        """Take received bytes, and handle the first command that is complete."""
+        self.last_active_at = self.received_at = self.server.now()
         if self.closing:
             return  # rejected: anything it still sends is read and discarded
         self.reader.feed(data)
-        self._handle_commands()
-        if self.server.draining and not self.closing:
-            self.close_between_requests()
+        if self.handle_one():
+            self._wait_for_turn()
 
-    def _handle_commands(self) -> None:
-        """Handle the complete commands that were received."""
-        memory = self.server.memory
-        memory.set_incomplete(self, 0)
+    def _wait_for_turn(self) -> None:
+        """Handle what else was received in turn with other clients, and read nothing more until then."""
+        if not self.raw:
+            self._on_all_handled()
+        elif self.transport is not None:
+            self.server.memory.set_incomplete(self, 0)
+            self.transport.pause_reading()
+            self.server.command_queue.add(self)
+
+    def handle_one(self) -> bool:
+        """Handle the next command; False if none is complete, or none may be handled now."""
+        if self.closing or self.lost or self.answers_unread:
+            return False
+        state = None if self.reader.missing_bytes else self._tcp_state()
         try:
-            while not self.closing and not self.answers_unread:
-                words = self.reader.next_command()
-                if words is None:
-                    break
-                self._handle_command(words)
+            words = self.reader.next_command()
         except ProtocolError as error:
             self.fail(f"Protocol error: {error}")  # the framing is lost: nothing after it can be parsed
+            return False
+        if words is None or state is None:
+            self._on_all_handled()
+            return False
+        self._handle_command(words, max(state.idle_ms, round((self.server.now() - self.received_at) * 1000)))
+        return True
+
+    def _on_all_handled(self) -> None:
+        """No complete command is left: read on."""
         if self.closing:
             return
-        memory.set_incomplete(self, len(self.raw))
+        self.server.memory.set_incomplete(self, len(self.raw))
         if self.raw and self.timer is None:
             self._start_command_timer()
+        self._resume_reading()
         self.server.limit_request_memory()
+        if self.server.draining and not self.closing:
+            self.close_between_requests()
 
-    def _handle_command(self, words: list[bytes]) -> None:
+    def _resume_reading(self) -> None:
+        if self.transport is not None and not self.answers_unread and not self.server.ended:
+            self.transport.resume_reading()
+
+    def _drop_unhandled(self) -> None:
+        """Forget what was received and not handled: its client has left, or another process handles it."""
+        self.server.command_queue.discard(self)
+        self.reader.clear()
+
+    def _tcp_state(self) -> TcpState | None:
+        """What the kernel knows of the connection; None if it is closed here."""
+        if self.transport is None or self.transport.is_closing():
+            return None
+        return read_tcp_state(self.transport.get_extra_info("socket"))
+
+    def _handle_command(self, words: list[bytes], waited_ms: int) -> None:
+        """Handle a command that has waited for so long since it was received, which counts towards its deadline."""
         self._stop_timer()
         self.has_sent_command = True
         self.server.mark_busy(self)
@@ -229,7 +274,7 @@
         try:
             if name == b"ENQUEUE":
                 request = parse_enqueue(words)
-                request.patience_ms -= self._unread_ms()
+                request.patience_ms -= waited_ms
                 if len(self.replies) > MAX_OPEN_REQUESTS or not self.server.memory.admit(len(request.body)):
                     reply.busy(0)
                 else:
@@ -243,16 +288,6 @@
             self.server.log_client_error(f"client request not understood: {error}")
             reply.error(str(error))
 
-    def _unread_ms(self) -> int:
-        """How long the command has waited in the kernel, which counts towards its deadline. On a saturated core, or after
-        other connections that wait to be accepted, that exceeds the margin after the deadline."""
-        if self.transport is None:
-            return 0
-        info = self.transport.get_extra_info("socket").getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_LAST_DATA.size
-        )
-        return int(TCP_INFO_LAST_DATA.unpack(info)[0])
-
     def send_ready(self) -> None:
         """Write the answers that are ready, in the order of their requests."""
         ready = []
@@ -293,7 +328,8 @@
         if not self.closing:
             self.server.log_client_error(f"client connection closed: {why}")
             self.closing = self.rejected = True
-            self.reader.clear()
+            self._drop_unhandled()
+            self._resume_reading()
             self.server.memory.set_incomplete(self, 0)
             self._stop_timer()
             self.server.mark_busy(self)
@@ -407,6 +443,8 @@
         self.ended = False  # the server reads nothing more
         self.on_closed: Callable[[], None] | None = None  # called when a connection or the listener has closed
         self.now: Callable[[], float] = asyncio.get_running_loop().time
+        self.command_queue = CommandQueue(asyncio.get_running_loop().call_soon)
+        self.read_buffer = memoryview(bytearray(MAX_READ_BYTES))
         self._client_errors = ClientErrorLog(log)
         self.listener = Listener(lambda: Connection(self), self._report_closed)
 
@@ -445,6 +483,7 @@
 
     def end(self) -> None:
         """Called just before the process ends: stop reading and accepting, and let clients read their answers."""
+        self.command_queue.run_all()
         self.ended = True
         self.listener.end()
         for connection in list(self.connections):
--- a/tests/fronts/test_request_memory.py
+++ b/tests/fronts/test_request_memory.py
@@ -82,9 +82,10 @@
     written: list[bytes] = []
     transport.write = written.append  # type: ignore[method-assign, assignment]
     connection.pause_writing()
-    connection.data_received(b"*1\r\n$4\r\nPING\r\n" * 3)
+    connection.receive(b"*1\r\n$4\r\nPING\r\n" * 3)
     assert written == [] and len(connection.raw) == 42
     connection.resume_writing()
+    await until(lambda: not connection.raw)
     assert b"".join(written) == b"+PONG\r\n" * 3 and not connection.raw
     client.writer.close()
 
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -63,6 +63,7 @@
     "garnetrelay.fleet.members",
     "garnetrelay.fleet.partitions",
     "garnetrelay.fleet.signing",
+    "garnetrelay.fronts.resp.command_queue",
     "garnetrelay.fronts.resp.commands",
     "garnetrelay.fronts.resp.request_memory",
     "garnetrelay.fronts.resp.requests",
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -11,6 +11,7 @@
 from garnetrelay.delivery.http.answers import AnswerReader, Outcome
 from garnetrelay.discovery import watches
 from garnetrelay.fronts.resp import server as resp_server
+from garnetrelay.fronts.resp.tcp_state import read_tcp_state
 from garnetrelay.rehearsal.scripted_peers import ScriptedHost
 from garnetrelay.store.reading import load
 from garnetrelay.store.storage import Folder
@@ -638,16 +639,17 @@
     assert await client.ask("PING") == b"PONG"
     (connection,) = field.relays[0].server.connections
     assert connection.transport is not None
+    sock = connection.transport.get_extra_info("socket")
     connection.transport.pause_reading()  # as if the loop were too busy to read it
     await client.enqueue_unread("m1", d=8000)
-    await until(lambda: connection._unread_ms() >= 60)
+    await until(lambda: read_tcp_state(sock).idle_ms >= 60)
     connection.transport.resume_reading()
     assert await client.read() == b"OK"
     remaining = field.relays[0].pacer.messages["m1"].deadline - time.monotonic_ns()
     assert remaining <= (8000 - 60) * 1_000_000
     connection.transport.pause_reading()
     await client.enqueue_unread("m2", d=30)
-    await until(lambda: connection._unread_ms() >= 30)
+    await until(lambda: read_tcp_state(sock).idle_ms >= 30)
     connection.transport.resume_reading()
     assert await client.read() == "BUSY"  # its time limit had passed before it was read
 
