What is unread of a client that has left is not sent on

Cause: what callers saw: a client wrote 300 payments and closed at once, by FIN or reset; the relay took on 64 of them and made them. A request was handled however its client's connection stood. What an old process of an upgrade had read and could not hand over was never answered.

Change: before each command the kernel is asked for the connection's state, by the call that tells how long the command waited. Behind a reset nothing is handled. Behind a FIN one command is handled, then none until the client's kernel acknowledges the answer, then twice as many: only a socket that is still open acknowledges, so a client that merely ends its sending has all its answers. Commands that no process takes over are refused.

--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import select
 import socket
@@ -30,6 +31,8 @@
 MAX_REJECTED_CONNECTIONS = 16  # connections over the limit that stay open until the client has read the rejection
 LAST_ANSWER_READ_S = 0.25  # time for a client to read its last answer: it waits at most 0.4 s for one
 MIN_READ_BYTES, MAX_READ_BYTES = 4 * 1024, 64 * 1024  # in one read: as many as the next command needs
+ACKNOWLEDGE_CHECK_S = 0.005  # between two checks whether a client that has ended its sending still reads
+ACKNOWLEDGE_TIMEOUT_S = 0.4  # a client waits no longer for its answer
 MAX_UNREAD_ANSWER_BYTES = 16 * 1024  # of a client that does not read its answers: no further command is handled
 
 
@@ -85,6 +88,8 @@
         self.rejected = False  # closing because of an error, which is written behind the answers that are still open
         self.at_eof = False  # the client sends nothing more
         self.received_at = 0.0  # when the last bytes were read
+        self.handled_after_end = 0  # commands handled since the client was seen to have ended its sending
+        self.acknowledge_timer: asyncio.TimerHandle | None = None
         self.answers_unread = False  # the client does not read its answers
         self.last_active_at = 0.0  # when the last byte was received, or the last request answered
         self.timer: asyncio.TimerHandle | None = None
@@ -150,6 +155,20 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def refuse_unhandled(self) -> None:
+        """Refuse the commands that were read and not handled, and close once the client has read its answers. For a
+        connection that no process takes over from this one."""
+        self.closing = True
+        self.server.command_queue.discard(self)
+        with contextlib.suppress(ProtocolError):
+            while self.reader.next_command() is not None:
+                reply = Reply(self)
+                self.replies.append(reply)
+                reply.busy(0)
+        self._drop_unhandled()
+        if self.transport is not None:
+            self._close(self.transport)
+
     def connection_lost(self, error: Exception | None) -> None:
         self.lost = True
         self._drop_unhandled()
@@ -222,9 +241,11 @@
 
     def handle_one(self) -> bool:
         """Handle the next command; False if none is complete, or none may be handled now."""
-        if self.closing or self.lost or self.answers_unread:
+        if self.closing or self.lost or self.answers_unread or self.acknowledge_timer is not None:
             return False
         state = None if self.reader.missing_bytes else self._tcp_state()
+        if state is not None and not self._is_heard(state):
+            return False
         try:
             words = self.reader.next_command()
         except ProtocolError as error:
@@ -233,6 +254,7 @@
         if words is None or state is None:
             self._on_all_handled()
             return False
+        self.handled_after_end += state.ended
         self._handle_command(words, max(state.idle_ms, round((self.server.now() - self.received_at) * 1000)))
         return True
 
@@ -256,6 +278,11 @@
         """Forget what was received and not handled: its client has left, or another process handles it."""
         self.server.command_queue.discard(self)
         self.reader.clear()
+        if self.acknowledge_timer is not None:
+            self.acknowledge_timer.cancel()
+            self.acknowledge_timer = None
+
+    # ---- clients that have left
 
     def _tcp_state(self) -> TcpState | None:
         """What the kernel knows of the connection; None if it is closed here."""
@@ -263,6 +290,49 @@
             return None
         return read_tcp_state(self.transport.get_extra_info("socket"))
 
+    def _is_heard(self, state: TcpState) -> bool:
+        """Whether the client may still hear the answer to its next command: what a client that has left sent is dropped.
+
+        A client that has only ended its sending looks like one that has closed its socket until an answer is written:
+        only the former acknowledges it. So behind its end one command is handled, then twice as many each time that all
+        answers are acknowledged.
+        """
+        if state.reset:
+            self._drop_unhandled()
+            if self.transport is not None:
+                self.transport.abort()
+            return False
+        if not state.ended or self.handled_after_end & (self.handled_after_end + 1):
+            return True  # not ended, or in the middle of a series: 1, 2, 4, 8, ...
+        assert self.transport is not None
+        if not self.handled_after_end or not (
+            self.replies or state.unacknowledged or self.transport.get_write_buffer_size()
+        ):
+            return True
+        self._check_later(self.server.now() + ACKNOWLEDGE_TIMEOUT_S)
+        return False
+
+    def _check_later(self, end: float) -> None:
+        if self.transport is not None:
+            self.transport.pause_reading()
+        self.acknowledge_timer = asyncio.get_running_loop().call_later(
+            ACKNOWLEDGE_CHECK_S, self._on_acknowledge_check, end
+        )
+
+    def _on_acknowledge_check(self, end: float) -> None:
+        self.acknowledge_timer = None
+        state = self._tcp_state()
+        if state is None:
+            return
+        if state.reset or self.server.now() >= end:
+            self._drop_unhandled()
+            if self.transport is not None:
+                self.transport.abort()
+        elif self.replies or state.unacknowledged:
+            self._check_later(end)
+        else:
+            self._wait_for_turn()
+
     def _handle_command(self, words: list[bytes], waited_ms: int) -> None:
         """Handle a command that has waited for so long since it was received, which counts towards its deadline."""
         self._stop_timer()
@@ -470,6 +540,11 @@
                 connection.close_between_requests()
         return [connection for connection in self.connections if connection.can_hand_over]
 
+    def close_after_handover(self) -> None:
+        """Close the connections that were not handed over; what was not handled of them is refused."""
+        for connection in list(self.connections):
+            connection.refuse_unhandled()
+
     async def adopt(self, sock: socket.socket, raw: bytes, has_sent_command: bool) -> None:
         """Take over a connection from another process."""
         await asyncio.get_running_loop().connect_accepted_socket(lambda: Connection(self, (raw, has_sent_command)), sock)
--- a/garnetrelay/handover/sender.py
+++ b/garnetrelay/handover/sender.py
@@ -220,6 +220,7 @@
                 os.close(claim)
             listener.close()
         relay.hosts.close()  # connections that are not handed over are closed
+        relay.server.close_after_handover()
         relay.pending.clear()
         return step
 
--- a/tests/fronts/test_command_queue.py
+++ b/tests/fronts/test_command_queue.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
+import socket
+import struct
 from collections.abc import Callable
 
 import pytest
@@ -12,7 +15,7 @@
 from garnetrelay.fronts.resp.client_error_log import ClientErrorLog
 from garnetrelay.fronts.resp.command_queue import MAX_COMMANDS_PER_ITERATION, CommandQueue
 from garnetrelay.fronts.resp.server import Connection
-from tests.sockets import Client, Field
+from tests.sockets import Client, Field, until
 
 PING = b"*1\r\n$4\r\nPING\r\n"
 FLOOD = 20_000
@@ -82,6 +85,23 @@
         assert await greedy.read() == b"PONG"
 
 
+@pytest.mark.parametrize("reset", [False, True], ids=["FIN", "reset"])
+async def test_what_is_unread_of_a_client_that_has_left_is_not_sent_on(field: Field, reset: bool) -> None:
+    """64 of 300 payments were taken on and made, though nobody could hear their answers. A closed socket tells itself
+    from one that only ends its sending by the first answer, so behind a FIN one payment may be taken on."""
+    client = await field.start()
+    relay = field.relays[0]
+    assert await client.ask("PING") == b"PONG"
+    with socket.create_connection(("127.0.0.1", field.port)) as leaving:
+        if reset:
+            leaving.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        leaving.sendall(payments(300))
+    after = await Client.connect(field.port)  # accepted behind the one that has left
+    assert await after.ask("PING") == b"PONG"
+    await until(lambda: len(relay.server.connections) == 2 and not relay.tick_scheduled)
+    assert sum(ref.startswith("p") for ref in relay.pending) <= (0 if reset else 1)
+
+
 async def test_a_client_that_ends_its_sending_has_all_its_requests_answered(field: Field) -> None:
     client = await field.start()
     client.writer.write(payments(20))
@@ -90,6 +110,39 @@
     assert await client.read() is None
 
 
+async def test_a_client_that_leaves_while_its_commands_wait_is_dropped(field: Field) -> None:
+    """The reset of a paused connection is seen before its next command is handled."""
+    client = await field.start()
+    relay = field.relays[0]
+    assert await client.ask("PING") == b"PONG"
+    (connection,) = relay.server.connections
+    connection.pause_writing()  # as if it read no answers
+    connection.receive(payments(10))
+    sock = client.writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.writer.transport.abort()
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    connection.resume_writing()
+    await until(lambda: not relay.server.connections)
+    assert not relay.pending and not connection.raw
+
+
+async def test_commands_that_no_process_takes_over_are_refused(field: Field) -> None:
+    """A client that read no answers kept its connection to the old process of an upgrade, which never answered what it
+    had read of it."""
+    client = await field.start()
+    relay = field.relays[0]
+    assert await client.ask("PING") == b"PONG"
+    (connection,) = relay.server.connections
+    connection.pause_writing()
+    connection.receive(payments(3))
+    assert connection.raw and not relay.pending
+    relay.server.close_after_handover()
+    assert [await client.read() for _ in range(4)] == ["BUSY"] * 3 + [None]
+    assert not relay.pending and not relay.new_requests
+
+
 def test_a_client_cannot_write_lines_of_its_own_into_the_log(caplog: pytest.LogCaptureFixture) -> None:
     with caplog.at_level(logging.INFO):
         ClientErrorLog(logging.getLogger("test")).add(0.0, "unknown command 'X\n12:00:00 forged'")
