A message that comes again under its id does not run twice

An id was known only while its message was pending or its notice not acknowledged.

The workload of the store's exploration delivers too, and its model asks that the refs are known; the sums of live bytes count them; test_bounds names the three tables, which test_resubmission bounds.

--- a/garnetrelay/cli/journal.py
+++ b/garnetrelay/cli/journal.py
@@ -111,6 +111,8 @@
                 text = fmt.read_gone(found)
             case Kind.NOTE if (rest := fmt.read_key_rest(found)) is not None:
                 text = f"key {rest.key} rests until {rest.until} in boot {rest.boot.hex()}"
+            case Kind.NOTE if (ended := fmt.read_ended_ref(found)) is not None:
+                text = f"{ended.ref} {'failed' if ended.failed else 'delivered'}, known until {ended.until}"
             case _:
                 text = ""
     except fmt.FormatError as error:
--- a/garnetrelay/config/deployment.py
+++ b/garnetrelay/config/deployment.py
@@ -25,6 +25,7 @@
 FLEET_DESCRIPTORS = 16  # in addition in a fleet; the same as DESCRIPTORS of ``config/fleet.py``, which is not loaded here
 FLEET_STATE_BYTES = 4096  # of the state folder, for the old and the new file of the life number
 REQUEST_MEMORY_SHARE = 8  # an eighth of the memory limit is for requests that are incomplete or not answered
+ENDED_REF_MEMORY_SHARE = 16  # that part of the memory limit is for the refs of messages that have ended
 MIN_REQUEST_BYTES = 1 << 20  # some requests with the longest body, whatever the memory limit is
 OPERATOR_DESCRIPTORS = 10  # in addition with operators' commands: a listener, connections, and some to be refused
 
@@ -90,6 +91,11 @@
         """The memory for clients' requests that are incomplete or not answered, over all connections."""
         return max(MIN_REQUEST_BYTES, self.memory_bytes // REQUEST_MEMORY_SHARE)
 
+    @property
+    def ended_ref_bytes(self) -> int:
+        """The memory for the refs of messages that have ended."""
+        return self.memory_bytes // ENDED_REF_MEMORY_SHARE
+
     @property
     def journal_bytes(self) -> int:
         """The share of the state folder that the store may use."""
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -25,9 +25,9 @@
 from garnetrelay.discovery.host_list import ListReader, ListUpdate
 from garnetrelay.ends.held import EndNotice
 from garnetrelay.ends.notifier import EndNotifier
-from garnetrelay.fronts.resp.requests import RejectedError, Request
-from garnetrelay.fronts.resp.server import Reply, Server
+from garnetrelay.fronts.resp.server import Server
 from garnetrelay.host_table import HostTable
+from garnetrelay.intake import Intake
 from garnetrelay.key_rests import KeyRests
 from garnetrelay.loop_lag import LoopLag
 from garnetrelay.pending import NewRequest, PendingMessage
@@ -62,7 +62,7 @@
 DEADLINE_MARGIN_NS = SECOND // 10  # an end that the deadline causes comes at most this long before it
 
 
-class Relay(Recovery, Shutdown):
+class Relay(Intake, Recovery, Shutdown):
     """One relay, from its start to its end."""
 
     def __init__(
@@ -86,6 +86,7 @@
             preloaded,
             config.settings.limits.most_tries,
             config.fleet is not None and config.fleet.leases is not None,
+            config.ended_ref_bytes,
         )
         self.class_numbers = {name: number for number, name in enumerate(config.class_names)}
         self.key_rests = KeyRests(config.settings, self.class_numbers, boot_id)
@@ -303,60 +304,6 @@
 
     # ---- incoming events
 
-    def on_request(self, request: Request, reply: Reply) -> None:
-        """A client submits a message. It is answered within the next tick."""
-        if request.klass not in self.class_numbers:
-            raise RejectedError(f"unknown class '{request.klass[:40]}'")
-        if request.dest not in self.host_table.destinations:
-            # The list from the start may be outdated: a destination that it lacks may exist.
-            if not self.discovery.up_to_date:
-                self.counts.refused[request.klass] += 1
-                reply.busy(0)
-                return
-            raise RejectedError(f"unknown destination {request.dest}")
-        klass = self.settings.classes[self.class_numbers[request.klass]]
-        if klass.repeat is io.Repeat.KEYED and request.key is None:
-            raise RejectedError("'k' is missing")  # without a key no host could recognize a repeat
-        if request.patience_ms * MS > 2 * klass.deadline:
-            raise RejectedError("'d' is far over the class's deadline")
-        if request.patience_ms <= 0:  # it waited unread until its time limit had passed
-            self.counts.refused[request.klass] += 1
-            reply.busy(0)
-            return
-        if self._is_accepted(request.ref):
-            self.journal.when_recorded(functools.partial(self._answer_repeat, request.ref, reply))
-            return
-        if request.ref in self.new_requests:
-            reply.busy(0)
-            return
-        deadline = time.time_ns() // MS + request.patience_ms
-        ends_at = time.monotonic_ns() + request.patience_ms * MS
-        self.new_requests[request.ref] = NewRequest(request, reply, deadline, ends_at)
-        self.post(
-            io.Arrived(
-                call=request.ref,
-                tenant=0,
-                klass=self.class_numbers[request.klass],
-                dest=request.dest,
-                key=request.key,
-                patience=request.patience_ms * MS,
-                storable=self.journal.has_room(request.ref, request.key, len(request.body))
-                and (not self.recovering or len(self.pending) + len(self.recovering) < self.settings.limits.most_held),
-            )
-        )
-
-    def _is_accepted(self, ref: str) -> bool:
-        """Whether a message was accepted, and is pending or the notice of its end is not acknowledged yet."""
-        return ref in self.pending or ref in self.journal.entries
-
-    def _answer_repeat(self, ref: str, reply: Reply, recorded: bool) -> None:
-        """Answer a request for a message that was accepted before. Its record may have been as young as the request, and
-        may have failed since."""
-        if recorded or self._is_accepted(ref):
-            reply.ok()
-        else:
-            self.ends.refuse(ref, reply)
-
     def on_list_update(self, update: ListUpdate | None) -> None:
         """The list of hosts has changed; None: the watch has failed."""
         if update is None:
@@ -463,6 +410,7 @@
         """Run one small step of compaction, and schedule another where more is left."""
         if self.closed:
             return
+        self.journal.forget_ended(time.time_ns() // MS)
         self.journal.maintain()
         self.ends.retry()
         if self.journal.needs_maintenance and self.maintenance_timer is None:
@@ -473,38 +421,6 @@
         self.maintenance_timer = None
         self._maintain_journal()
 
-    def _accept_new_requests(self, ends: set[str]) -> list[NewRequest]:
-        """Record the new requests that the Pacer did not end in this tick: they are accepted once that is written."""
-        accepted = []
-        for ref, new_request in self.new_requests.items():
-            request = new_request.request
-            if ref in ends:
-                continue
-            # Other requests of this tick may have used the space that was free when it arrived.
-            if not new_request.reply.client_connected or not self.journal.has_room(ref, request.key, len(request.body)):
-                self.counts.refused[request.klass] += 1
-                new_request.reply.busy(0)
-                self.post(io.Withdrawn(ref))
-                continue
-            self.journal.record_accepted(
-                Entry(ref, request.klass, request.dest, request.key, new_request.deadline, request.body)
-            )
-            self.pending[ref] = PendingMessage(ref, request.klass, request.key, request.body, new_request.ends_at)
-            accepted.append(new_request)
-        return accepted
-
-    def _answer(self, new_request: NewRequest, recorded: bool) -> None:
-        """Tell a client that its message is accepted, or refuse it because it could not be recorded."""
-        ref = new_request.request.ref
-        if recorded:
-            new_request.reply.ok()
-            return
-        self.pending.pop(ref, None)
-        self.journal.record_end(ref, None)
-        self.counts.refused[new_request.request.klass] += 1
-        self.ends.refuse(ref, new_request.reply)
-        self.post(io.Withdrawn(ref))
-
     def _execute(self, action: io.Action) -> None:
         match action:
             case io.Send():
@@ -599,6 +515,9 @@
         )
         by_class[message.klass] += 1
         notified = result or notify_result
-        self.journal.record_end(message.ref, notified, wait_ms)
-        if notified is not None:
+        if notified is None:
+            repeat = self.settings.classes[self.class_numbers[message.klass]].repeat
+            self.journal.record_delivered(message.ref, may_forget=repeat is io.Repeat.SAFE)
+        else:
+            self.journal.record_end(message.ref, notified, wait_ms)
             self.ends.add(EndNotice(message.ref, notified, wait_ms, message.ends_at))
--- a/garnetrelay/store/compaction.py
+++ b/garnetrelay/store/compaction.py
@@ -18,6 +18,8 @@
 
 log = logging.getLogger(__name__)
 
+MAX_REFS_PER_COPY = 50  # refs of ended messages: less than the smallest segment
+
 
 class CompactedLog(SegmentLog):
     """A compacted log: ``maintain`` does one step of work, ``needs_maintenance`` says whether more is left."""
@@ -129,6 +131,10 @@
             if written >= max_bytes or max_messages <= 0:
                 self._victim = number
                 return
+            if not (segment.entries or segment.tombstones or segment.rests):
+                written += self._copy_ended(segment, max_messages)
+                max_messages -= MAX_REFS_PER_COPY
+                continue
             max_messages -= 1
             if segment.entries:
                 written += self._copy_entry(next(iter(segment.entries)))
@@ -157,6 +163,16 @@
         self.index.set_rest(rest, self._active.number, size)
         return size
 
+    def _copy_ended(self, segment: Segment, max_refs: int) -> int:
+        """Copies refs of ended messages, some at once: there are as many as messages in the last half minute."""
+        refs = [segment.ended.popitem()[0] for _ in range(min(max_refs, MAX_REFS_PER_COPY, len(segment.ended)))]
+        segment.stale.update(refs)  # it has the only records until the copies are written
+        size = self._buffer_copy(b"".join(fmt.encode_ended_ref(self.index.ended.record(ref)) for ref in refs), None)
+        self._pending_refs += refs
+        self._active.records += len(refs) - 1
+        self.index.move_ended(refs, segment, self._active.number, size)
+        return size
+
     def _buffer_copy(self, data: bytes, ref: str | None) -> int:
         """Buffers a record like ``_buffer_record``, but may use the segments reserved for compaction."""
         active = self._active
@@ -248,12 +264,16 @@
         return 0 if entry is None else len(entry.body)
 
     def _rewrite(self, ref: str) -> None:
-        """Buffers a message's full state, or that it is gone."""
+        """Buffers a message's full state, or that it is gone, with its ref if that must be known."""
         entry = self.entries.get(ref)
         if entry is not None:
             size = self._buffer_record(fmt.encode_state(entry), ref)
             self.index.set_base(entry, self._active.number, size)
             return
+        if self.index.ended.get(ref) is not None:
+            ended = self.index.ended.record(ref)
+            self._buffer_record(fmt.encode_ended_ref(ended), ref)
+            self.index.set_ended(ended, self._active.number)
         size = self._buffer_record(fmt.encode_gone(ref), ref)
         number = self._active.number
         # Which segments have a base record of it is not known any more: any of them may.
--- a/garnetrelay/store/format.py
+++ b/garnetrelay/store/format.py
@@ -9,7 +9,8 @@
     ENDED    the message ended, its notice is pending  GONE     nothing is pending; earlier records are void
     SEAL     the segment is complete; its record count
     NOTE     no content: written to test whether the folder accepts writes; or a subkind, and its content: how long a key
-             rests. Programs of before subkinds ignore the content.
+             rests, or how long the ref of a message that ended is known. Programs ignore the content of subkinds that
+             they do not know.
 
 A TRY may have eight more bytes after its last field: the epoch in which the relay owned the destination. Programs that
 know this format version but not epochs ignore them.
@@ -41,7 +42,8 @@
 _ENDED = struct.Struct(">BBI")
 _COUNT = struct.Struct(">I")
 _KEY_REST = struct.Struct(">BQ16s")  # subkind, end, boot
-SUBKIND_KEY_REST = 1
+_ENDED_REF = struct.Struct(">BQB")  # subkind, until when, whether it failed
+SUBKIND_KEY_REST, SUBKIND_ENDED_REF = 1, 2
 NO_KEY = 0xFFFF
 FLAG_TRYING, FLAG_RAN, FLAG_UNCERTAIN = 1, 2, 4
 RESULTS = ("", "dead", "bounced")
@@ -107,6 +109,14 @@
     boot: bytes  # ID of the boot, 16 bytes
 
 
+class EndedRef(NamedTuple):
+    """The ref of a message that ran and ended, and until when its client may submit it again."""
+
+    ref: str
+    until: int  # wall clock, milliseconds
+    failed: bool  # the platform was notified that it failed; else it was delivered
+
+
 class Record(msgspec.Struct, gc=False):
     """A record that was read. ``offset`` and ``size`` locate it in the segment, in bytes."""
 
@@ -210,6 +220,16 @@
     return pack(Kind.NOTE, _KEY_REST.pack(SUBKIND_KEY_REST, rest.until, rest.boot) + rest.key.encode())
 
 
+def encode_ended_ref(ended: EndedRef) -> bytes:
+    """Encodes a NOTE record with the ref of a message that ended."""
+    return pack(Kind.NOTE, _ENDED_REF.pack(SUBKIND_ENDED_REF, ended.until, ended.failed) + ended.ref.encode())
+
+
+def ended_ref_size(ref: str) -> int:
+    """The size of that record in bytes."""
+    return RECORD.size + _ENDED_REF.size + len(ref.encode())
+
+
 SEAL_SIZE = len(encode_seal(0))
 NOTE_RECORD = pack(Kind.NOTE, b"")
 
@@ -386,6 +406,18 @@
         raise FormatError(str(error)) from None
 
 
+def read_ended_ref(record: Record) -> EndedRef | None:
+    """Decodes a NOTE record; None if it has no content or is of another subkind. FormatError if it is invalid."""
+    payload = record.payload
+    if not payload or payload[0] != SUBKIND_ENDED_REF:
+        return None
+    try:
+        _, until, failed = _ENDED_REF.unpack_from(payload)
+        return EndedRef(payload[_ENDED_REF.size :].decode(), until, bool(failed))
+    except (struct.error, UnicodeDecodeError) as error:
+        raise FormatError(str(error)) from None
+
+
 def ref_of(record: Record) -> str:
     """The ref of the message that a record belongs to; empty for SEAL and NOTE."""
     match record.kind:
--- a/garnetrelay/store/index.py
+++ b/garnetrelay/store/index.py
@@ -11,7 +11,8 @@
 from typing import NamedTuple
 
 from garnetrelay.store import format as fmt
-from garnetrelay.store.format import Entry, KeyRest, Kind, Record
+from garnetrelay.store.ended_refs import EndedRefs
+from garnetrelay.store.format import EndedRef, Entry, KeyRest, Kind, Record
 
 DEFAULT_MAX_ATTEMPTS = 6  # attempts of a message, unless the settings say otherwise
 # Bytes of a message's records that depend neither on its ref, key and body nor on its attempts: record heads and times.
@@ -26,13 +27,15 @@
     max_attempts: int = DEFAULT_MAX_ATTEMPTS,
     attempt_bytes: int = ATTEMPT_RECORD_BYTES,
 ) -> int:
-    """Upper bound in bytes of all records of a message: its base, all attempts with their outcomes, and its end."""
+    """Upper bound in bytes of all records of a message: its base, all attempts with their outcomes, its end, and its ref
+    after that."""
     return (
         body_length
         + (2 * max_attempts + 3) * len(ref)
         + 2 * len(key or "")
         + FIXED_RECORD_BYTES
         + max_attempts * attempt_bytes
+        + fmt.ended_ref_size(ref)
     )
 
 
@@ -49,11 +52,12 @@
     tombstones: dict[str, int] = field(default_factory=dict)  # needed GONE records, with their size in bytes
     stale: set[str] = field(default_factory=set)  # messages with a stale base record here
     rests: dict[str, int] = field(default_factory=dict)  # keys whose rest is recorded here, with its size in bytes
+    ended: dict[str, None] = field(default_factory=dict)  # refs of ended messages that are recorded here
 
     @property
     def needed(self) -> bool:
         """Whether any of its records is needed."""
-        return bool(self.entries or self.tombstones or self.rests)
+        return bool(self.entries or self.tombstones or self.rests or self.ended)
 
 
 @dataclass(slots=True)
@@ -72,7 +76,8 @@
 
 
 class Index:
-    """All entries and segments. ``reserved``: upper bound in bytes of all records of the live messages, and of rests."""
+    """All entries and segments. ``reserved``: upper bound in bytes of all records of the live messages, of rests, and of
+    the refs of ended messages."""
 
     def __init__(self) -> None:
         self.max_attempts = DEFAULT_MAX_ATTEMPTS  # of a message
@@ -81,6 +86,7 @@
         self.segments: dict[int, Segment] = {}
         self.tombstones: dict[str, Tombstone] = {}
         self.rests: dict[str, RecordedRest] = {}  # by key
+        self.ended = EndedRefs()
         self.reserved = 0
         self.live = 0  # bytes of all records that are needed
 
@@ -90,6 +96,7 @@
         self.attempt_bytes = ATTEMPT_RECORD_BYTES + fmt.EPOCH.size * epochs
         self.reserved = sum(self.reserved_bytes(e.ref, e.key, len(e.body)) for e in self.entries.values())
         self.reserved += sum(sum(segment.rests.values()) for segment in self.segments.values())
+        self.reserved += sum(fmt.ended_ref_size(ref) for segment in self.segments.values() for ref in segment.ended)
 
     def reserved_bytes(self, ref: str, key: str | None, body_length: int) -> int:
         """Upper bound in bytes of all records of a message."""
@@ -98,7 +105,7 @@
     @property
     def needed_records(self) -> int:
         """How many copies a compaction of all segments would write."""
-        return len(self.entries) + len(self.tombstones) + len(self.rests)
+        return len(self.entries) + len(self.tombstones) + len(self.rests) + len(self.ended)
 
     # ---- records that were written or read
 
@@ -200,6 +207,41 @@
             self.live -= size
             self.reserved -= size
 
+    def set_ended(self, ended: EndedRef, number: int) -> None:
+        """Adds the record of an ended message's ref; earlier ones of the ref are not needed any more."""
+        self._subtract_ended(ended.ref)
+        self.ended.set(ended, number)
+        self._add_ended(self.segments[number], ended.ref, fmt.ended_ref_size(ended.ref))
+
+    def move_ended(self, refs: list[str], old: Segment, number: int, size: int) -> None:
+        """Moves refs of ended messages, which were taken out of a segment, to the segment with their copies."""
+        self.ended.move(refs, number)
+        segment = self.segments[number]
+        segment.ended.update(dict.fromkeys(refs))
+        segment.live += size
+        old.live -= size
+
+    def drop_ended(self, ref: str) -> None:
+        """Forgets the ref of an ended message."""
+        self._subtract_ended(ref)
+        self.ended.remove(ref)
+
+    def _add_ended(self, segment: Segment, ref: str, size: int) -> None:
+        segment.ended[ref] = None
+        segment.live += size
+        self.live += size
+        self.reserved += size
+
+    def _subtract_ended(self, ref: str) -> None:
+        known = self.ended.get(ref)
+        segment = None if known is None else self.segments.get(known.segment)
+        if segment is not None and ref in segment.ended:
+            size = fmt.ended_ref_size(ref)
+            del segment.ended[ref]
+            segment.live -= size
+            self.live -= size
+            self.reserved -= size
+
     def remove_segment(self, number: int) -> None:
         """Removes a segment whose file was removed; none of its records was needed."""
         segment = self.segments.pop(number)
@@ -238,6 +280,8 @@
             self.live -= size
         for key in list(segment.rests):
             self.drop_rest(key)
+        for ref in list(segment.ended):
+            self.drop_ended(ref)
         self.remove_segment(number)
 
     def _subtract_records(self, entry: Entry) -> None:
@@ -285,6 +329,8 @@
             case Kind.NOTE:
                 if (rest := fmt.read_key_rest(record)) is not None:
                     self.set_rest(rest, number, record.size)
+                elif (ended := fmt.read_ended_ref(record)) is not None:
+                    self.set_ended(ended, number)
             case Kind.SEAL:
                 pass
 
--- a/garnetrelay/store/store.py
+++ b/garnetrelay/store/store.py
@@ -19,13 +19,19 @@
 from pathlib import Path
 
 from garnetrelay.store import format as fmt
-from garnetrelay.store.format import Entry, KeyRest
+from garnetrelay.store.ended_refs import RecordedEnd
+from garnetrelay.store.format import EndedRef, Entry, KeyRest
 from garnetrelay.store.index import DEFAULT_MAX_ATTEMPTS, apply_attempt, apply_outcome
 from garnetrelay.store.preload import Preloaded
 from garnetrelay.store.recovery import RecoveredLog
 from garnetrelay.store.segment_log import StoreError as StoreError  # raised by a start
 from garnetrelay.store.storage import Folder, Storage
 
+RESUBMISSION_MS = 400  # beyond a message's time: for so long a client waits for its answer
+DEFAULT_MAX_ENDED_BYTES = 6 << 20
+MAX_ENDED_DISK_DIVISOR = 4  # the refs of ended messages take at most this part of the disk
+MEAN_ENDED_RECORD_BYTES = fmt.ended_ref_size("0" * 16)
+
 
 class Store(RecoveredLog):
     """Appends records, maintains the live entries, and compacts the log. Used by one thread."""
@@ -38,8 +44,10 @@
         preloaded: Preloaded | None = None,
         max_attempts: int = DEFAULT_MAX_ATTEMPTS,
         epochs: bool = False,
+        max_ended_bytes: int = DEFAULT_MAX_ENDED_BYTES,
     ) -> None:
         super().__init__(storage, disk_bytes, machine_durable)
+        self._max_ended_bytes = max_ended_bytes
         self._load(preloaded)
         self.index.set_attempt_limits(max_attempts, epochs)
 
@@ -53,12 +61,13 @@
         preloaded: Preloaded | None = None,
         max_attempts: int = DEFAULT_MAX_ATTEMPTS,
         epochs: bool = False,
+        max_ended_bytes: int = DEFAULT_MAX_ENDED_BYTES,
     ) -> Store:
         """Opens the store of a folder.
 
         ``lock``: the descriptor of the folder's lock from the previous process; without it the folder is locked here.
         ``preloaded``: the result of ``preload_folder``. ``max_attempts``: attempts that a message may have. ``epochs``:
-        whether attempts record an epoch.
+        whether attempts record an epoch. ``max_ended_bytes``: memory for the refs of messages that have ended.
         """
         opened = Folder(folder)
         if lock is None:
@@ -66,7 +75,7 @@
         else:
             opened.adopt_lock(lock)
         try:
-            return cls(opened, disk_bytes, machine_durable, preloaded, max_attempts, epochs)
+            return cls(opened, disk_bytes, machine_durable, preloaded, max_attempts, epochs, max_ended_bytes)
         except BaseException:
             opened.unlock()
             raise
@@ -130,10 +139,52 @@
         self.index.drop_body(entry)
         self.index.add_record(entry, self._active.number, size)
 
+    def record_delivered(self, ref: str, may_forget: bool) -> None:
+        """Records that a message was delivered and nothing is pending any more. Its ref stays known until its client
+        can't submit it any more; ``may_forget``: not if that takes too much memory, as it may be delivered twice."""
+        entry = self.entries.get(ref)
+        if entry is None:
+            return
+        if not may_forget or self.has_room_for_refs:
+            self._record_ended_ref(entry, failed=False)
+        self._record_gone(ref)
+
     def record_notice_acknowledged(self, ref: str) -> None:
-        """Records that the notice of a message's end was acknowledged: nothing is pending any more."""
-        if ref in self.entries:
-            self._record_gone(ref)
+        """Records that the notice of a message's end was acknowledged: nothing is pending any more. The ref of one that
+        failed and may have run stays known; one that never ran may be submitted again."""
+        entry = self.entries.get(ref)
+        if entry is None:
+            return
+        may_have_run = entry.uncertain or entry.trying_at is not None or entry.ran_at is not None
+        if entry.ended == "dead" and may_have_run:
+            self._record_ended_ref(entry, failed=True)
+        self._record_gone(ref)
+
+    # ---- refs of messages that have ended
+
+    @property
+    def has_room_for_refs(self) -> bool:
+        """Whether the refs of more ended messages may be kept in memory and on disk."""
+        return (
+            self.index.ended.memory_bytes < self._max_ended_bytes
+            and len(self.index.ended) * MEAN_ENDED_RECORD_BYTES < self.sizes.max_bytes // MAX_ENDED_DISK_DIVISOR
+        )
+
+    def end_of(self, ref: str, now_ms: int) -> RecordedEnd | None:
+        """How a message ended whose client may still submit it again; None if no such message is known."""
+        known = self.index.ended.get(ref)
+        return known if known is not None and now_ms <= known.until else None
+
+    def forget_ended(self, now_ms: int) -> None:
+        """Forgets the refs that no client can submit any more."""
+        for ref in self.index.ended.expired(now_ms):
+            self.index.drop_ended(ref)
+
+    def _record_ended_ref(self, entry: Entry, failed: bool) -> None:
+        """Records a ref ahead of the record that its message is gone: a stop in between forgets neither."""
+        ended = EndedRef(entry.ref, entry.deadline + RESUBMISSION_MS, failed)
+        self._buffer_record(fmt.encode_ended_ref(ended), entry.ref)
+        self.index.set_ended(ended, self._active.number)
 
     # ---- what happens to a key
 
--- a/tests/store/explore.py
+++ b/tests/store/explore.py
@@ -4,7 +4,7 @@
 
 For each message the model has its state after each buffered record, and the latest of these states that was certainly
 recorded. After a stop each message must be in that state or a later one: no message is lost, no attempt is forgotten,
-and no message that had ended is restored.
+no message that had ended is restored, and the refs of those that were delivered are known.
 """
 
 from __future__ import annotations
@@ -58,11 +58,17 @@
 
     states: dict[str, list[State]] = field(default_factory=dict)
     recorded: dict[str, int] = field(default_factory=dict)  # the index of the latest state that was recorded
+    delivered: set[str] = field(default_factory=set)
+    delivered_recorded: set[str] = field(default_factory=set)
 
     def add_state(self, store: Store, ref: str) -> None:
         entry = store.entries.get(ref)
         self.states.setdefault(ref, []).append(None if entry is None else copy.deepcopy(state_of(entry)))
 
+    def forget_unrecorded_ends(self, store: Store) -> None:
+        """A recovered store is right about deliveries whose records were being written as the process ended."""
+        self.delivered = {ref for ref in self.delivered if store.index.ended.get(ref) is not None}
+
     def mark(self) -> dict[str, int]:
         return {ref: len(states) - 1 for ref, states in self.states.items()}
 
@@ -91,6 +97,8 @@
                     raise ModelMismatchError(f"{ref} was recovered as {state_of(entry)}, allowed {allowed}")
             elif not entry.uncertain:
                 self._check_conservative(ref, entry, [state for state in allowed if state is not None])
+        if forgotten := [ref for ref in self.delivered_recorded if store.index.ended.get(ref) is None]:
+            raise ModelMismatchError(f"{forgotten} were delivered, and would be taken for new messages")
         for ref in store.entries:
             if ref not in self.states:
                 raise ModelMismatchError(f"{ref} was never accepted")
@@ -166,17 +174,21 @@
             store.record_outcome(ref, draw.random() < 0.5)
         elif draw.random() < 0.5:
             store.record_end(ref, draw.choice(("dead", "bounced")), draw.randrange(500))
+        elif draw.random() < 0.5:
+            store.record_delivered(ref, may_forget=False)
+            model.delivered.add(ref)
         else:
             store.record_end(ref, None)
         model.add_state(store, ref)
 
     def _end_batch(self, store: Store) -> None:
-        mark, new = self.model.mark(), self.new
+        mark, new, delivered = self.model.mark(), self.new, set(self.model.delivered)
         self.new = []
 
         def on_recorded(recorded: bool) -> None:
             if recorded:
                 self.model.mark_recorded(mark)
+                self.model.delivered_recorded |= delivered
                 return
             for ref in new:  # its client gets an error: it was not accepted
                 if ref in store.entries:
@@ -238,6 +250,7 @@
             for ref in list(model.states):
                 model.states[ref] = [state_of(store.entries[ref]) if ref in store.entries else None]
                 model.recorded[ref] = 0
+            model.forget_unrecorded_ends(store)
             uncertain = {(ref, entry.deadline) for ref, entry in store.entries.items() if entry.uncertain}
             for _ in range(6):
                 second._step(store)
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -307,6 +307,7 @@
             found = self.store.entries.get(ref)
             self.model.states[ref] = [None if found is None else explore.state_of(found)]
             self.model.recorded[ref] = 0
+        self.model.forget_unrecorded_ends(self.store)
 
     @rule(times=st.integers(1, 20))
     def serve(self, times: int) -> None:
@@ -337,7 +338,8 @@
             index = self.store.index
             assert all(segment.live >= 0 for segment in index.segments.values())
             assert index.live == sum(sum(e.spread.values()) for e in index.entries.values()) + sum(
-                sum(segment.tombstones.values()) for segment in index.segments.values()
+                sum(segment.tombstones.values()) + sum(map(fmt.ended_ref_size, segment.ended))
+                for segment in index.segments.values()
             )
 
 
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -33,8 +33,18 @@
     io.Status.CONNECT_FAILED,
 )
 # Tables that the test of the relay does not wait for: the first four cover some seconds of traffic, which the test of the
-# Pacer alone lets elapse, and the last is limited to MAX_DELISTED_HOSTS.
-BOUNDED = {"Destination.arrived", "Destination.sent", "Destination.served", "Pacer.expiry", "HostTable.delisted"}
+# Pacer alone lets elapse, the fifth is limited to MAX_DELISTED_HOSTS, and the last three hold the ids of messages until
+# these could not come again, in a limited part of the memory (tests/test_resubmission.py).
+BOUNDED = {
+    "Destination.arrived",
+    "Destination.sent",
+    "Destination.served",
+    "Pacer.expiry",
+    "HostTable.delisted",
+    "EndedRefs._ends",
+    "EndedRefs._by_second",
+    "Segment.ended",
+}
 MAX_EXTRA_ELEMENTS = 64  # elements that may lag behind, such as expired entries in heaps that are not yet cleaned up
 
 
