Answers of hosts and lists of discovery take bounded work and memory, whatever their form

Change: 4 KB of an answer are parsed between two looks at its limits; the lines of a version are one piece; a version of more than 400,000 values is refused. test_crowd.py keeps the probe of clients with half-finished requests.

--- a/garnetrelay/delivery/http/answers.py
+++ b/garnetrelay/delivery/http/answers.py
@@ -18,6 +18,7 @@
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_ANSWER_BYTES = 64 * 1024  # a longer answer is not read to its end just to reuse the connection
+PIECE_BYTES = 4 * 1024  # parsed between two checks of the limits
 MAX_REPORT_BYTES = 200  # a load report is a few numbers
 STATUS_LINE_200 = re.compile(  # a complete status line with 200, after any number of 1xx responses
     rb"(?:HTTP/1\.[01] 1\d\d[^\n]*+\n(?:[^\r\n][^\n]*+\n)*+\r?\n)*+HTTP/1\.[01] 200(?: [^\n]*)?\r?\n"
@@ -117,7 +118,11 @@
         self._parser = None
 
     def feed(self, data: bytes) -> None:
-        """Parses received bytes and updates the attributes."""
+        """Parses received bytes and updates the attributes. Nothing is parsed beyond a limit that is exceeded."""
+        for start in range(0, len(data), PIECE_BYTES):
+            self._feed_piece(data[start : start + PIECE_BYTES])
+
+    def _feed_piece(self, data: bytes) -> None:
         if self._parser is None or self.broken:
             return
         self.received += len(data)
--- a/garnetrelay/discovery/client.py
+++ b/garnetrelay/discovery/client.py
@@ -13,7 +13,14 @@
 import h11
 
 from garnetrelay.config.deployment import Address
-from garnetrelay.discovery.host_list import ListReader, ListUpdate, ObjectSplitter, UnreadableListError, describe
+from garnetrelay.discovery.host_list import (
+    ListReader,
+    ListUpdate,
+    ObjectSplitter,
+    UnreadableListError,
+    check_size,
+    describe,
+)
 from garnetrelay.discovery.watches import State, Timeouts, Watch, Watches
 
 log = logging.getLogger(__name__)
@@ -166,6 +173,7 @@
         requested once more on another watch. If it is malformed again, its valid entries are used, and later lines
         apply."""
         raw: object = None
+        check_size(line)
         try:
             raw = json.loads(line)
             update = self.reader.read(raw)
--- a/garnetrelay/discovery/host_list.py
+++ b/garnetrelay/discovery/host_list.py
@@ -15,6 +15,7 @@
 from starlingwick import interface as io
 
 MAX_VERSION_BYTES = 4 << 20  # of one version of the list
+MAX_VERSION_VALUES = 400_000  # JSON values in a version: each takes far more memory than its bytes
 MAX_LOGGED_HOSTS = 8  # in one log line
 QUOTED_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
@@ -94,6 +95,12 @@
     return f"{what}, version {update.index}: {len(update.entries)} hosts, draining or gone: {named or 'none'}"
 
 
+def check_size(version: bytes) -> None:
+    """Refuse a version that would take too much memory once it is parsed: UnreadableListError."""
+    if version.count(b",") + version.count(b"[") + version.count(b"{") > MAX_VERSION_VALUES:
+        raise UnreadableListError("an object has too many values")
+
+
 class UnreadableListError(ValueError):
     """Malformed data in the stream of versions."""
 
@@ -105,8 +112,7 @@
 
     def __init__(self) -> None:
         self._partial_line = b""
-        self._object: list[bytes] = []  # the complete lines of an unfinished object
-        self._size = 0  # their total in bytes
+        self._object = bytearray()  # the complete lines of an unfinished object
         self._depth = 0
 
     @property
@@ -124,7 +130,7 @@
                 found.append(None)
             elif content:
                 self._add_line(line, found)
-        if self._size + len(self._partial_line) > MAX_VERSION_BYTES:
+        if len(self._object) + len(self._partial_line) > MAX_VERSION_BYTES:
             raise UnreadableListError("an object exceeds the size limit")
         return found
 
@@ -132,12 +138,10 @@
         unquoted = QUOTED_STRING.sub(b"", line)
         depth = sum(unquoted.count(bracket) for bracket in b"{[") - sum(unquoted.count(bracket) for bracket in b"}]")
         if self._object and depth == 0 and b'"endpoints"' in line:  # a complete version: the unfinished one never ends
-            found.append(b"".join(self._object))
-            self._object, self._size, self._depth = [], 0, 0
+            found.append(bytes(self._object))
+            self._object, self._depth = bytearray(), 0
         self._depth += depth
-        if self._depth > 0:
-            self._object.append(line)
-            self._size += len(line)
-        else:
-            found.append(b"".join((*self._object, line)))
-            self._object, self._size, self._depth = [], 0, 0
+        self._object += line
+        if self._depth <= 0:
+            found.append(bytes(self._object))
+            self._object, self._depth = bytearray(), 0
