A host that has started anew is another process than the one before

A host was its name, so pooled connections, health and ramp of a process that had gone passed to the next one: payments were written to silent connections and ended as failed, a time-out of the old process counted against the new one, and a cold process got the full load.

Change: connections from before a host's told start are closed, calls out on them end as cancelled, and a host that started within the ramp time is cold by the event that operators' ONLINE uses (no policy file changed). Starts and connection times pass with an upgrade in fields that earlier processes pass over.

--- a/garnetrelay/delivery/http/connection.py
+++ b/garnetrelay/delivery/http/connection.py
@@ -28,6 +28,7 @@
 log = logging.getLogger(__name__)
 
 SECOND = 1_000_000_000
+NS_PER_MS = 1_000_000
 ANSWER_REST_TIMEOUT_S = 0.5  # for the remainder of an answer once it has begun
 
 Prepare = Callable[[Address], bytes | None]
@@ -164,6 +165,7 @@
         "transport",
         "timer",
         "used",
+        "connected_ms",
     )
 
     def __init__(self, pool: ConnectionPool, host: str, address: Address) -> None:
@@ -174,6 +176,7 @@
         self.exchange: Exchange | None = None
         self.used = False  # at least one call on it has been answered
         self.at_eof = False  # the host sends nothing more
+        self.connected_ms = 0  # when it was established, Unix time in milliseconds
         self.idle_since = 0.0
         self.answered_at = -math.inf  # when the last answer was complete, by the monotonic clock like ``idle_since``
         self.transport: asyncio.Transport | None = None
@@ -181,6 +184,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.connected_ms = time.time_ns() // NS_PER_MS
         self.pool.open.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/garnetrelay/delivery/http/hosts.py
+++ b/garnetrelay/delivery/http/hosts.py
@@ -61,6 +61,7 @@
         self.when_recorded = when_recorded
         self.delayed = delayed
         self.addresses: dict[str, Address] = {}
+        self._starts: dict[str, int] = {}  # when a host last started, Unix time in milliseconds
         self.open: set[Connection] = set()
         self.idle: dict[str, deque[Connection]] = {}
         self.idle_by_age: dict[Connection, None] = {}  # all idle connections, the longest idle first
@@ -83,8 +84,25 @@
             self.close_idle(host)
         self.addresses[host] = address
 
+    def set_start(self, host: str, start_ms: int) -> None:
+        """Set when a host last started (Unix time, milliseconds). The process at the other end of connections from before
+        that is gone: they are closed, and calls out on them may have run."""
+        self._starts[host] = start_ms
+        for connection in [one for one in self.open if one.host == host and one.connected_ms < start_ms]:
+            log.debug("a connection to %s closes: it has started anew", host)
+            if connection.exchange is None:
+                connection.abort()
+            else:
+                connection.exchange.give_up(io.Status.CANCELLED)
+
+    def _leads_to(self, connection: Connection) -> bool:
+        """Whether a connection leads to the process that is listed under the host's name."""
+        host = connection.host
+        return self.addresses.get(host) == connection.address and connection.connected_ms >= self._starts.get(host, 0)
+
     def remove(self, host: str) -> None:
         self.addresses.pop(host, None)
+        self._starts.pop(host, None)
         self._settle_s.pop(host, None)
         self.close_idle(host)
 
@@ -174,9 +192,16 @@
         return [connection for connection in self.idle_by_age if connection.usable]
 
     async def adopt(
-        self, sock: socket.socket, host: str, address: Address, used: bool, exchange: Exchange | None
+        self,
+        sock: socket.socket,
+        host: str,
+        address: Address,
+        used: bool,
+        exchange: Exchange | None,
+        connected_ms: int = 0,
     ) -> None:
-        """Take over a connection from another process, idle or with a call in flight."""
+        """Take over a connection from another process, idle or with a call in flight. ``connected_ms``: when it was
+        established; 0: unknown, it counts as established now."""
         loop = asyncio.get_running_loop()
         connection = Connection(self, host, address)
         connection.used, connection.exchange = used, exchange
@@ -184,6 +209,7 @@
             exchange.connection = connection
             exchange.start_timer()
         await loop.create_connection(lambda: connection, sock=sock)
+        connection.connected_ms = connected_ms or connection.connected_ms
         if exchange is None:
             connection.answered_at = time.monotonic()  # when its last answer came is not handed over
             self.keep_or_close(connection)
@@ -211,9 +237,8 @@
             log.error("opening a connection failed", exc_info=error)
 
     def _prepare_and_start(self, connection: Connection, exchange: Exchange) -> None:
-        # The host's address may have changed during the connect: who listens at the old one now is unknown.
-        moved = self.addresses.get(exchange.host) != connection.address
-        request = None if moved else exchange.prepare(connection.address)
+        # The host may have moved or started anew during the connect: who is at the other end is unknown.
+        request = exchange.prepare(connection.address) if self._leads_to(connection) else None
         if request is None:
             self.keep_or_close(connection)
             exchange.end(Outcome(io.Status.ABANDONED))
@@ -240,7 +265,7 @@
         if (
             connection.transport is None
             or connection.transport.is_closing()
-            or self.addresses.get(connection.host) != connection.address
+            or not self._leads_to(connection)
             or self.idle_time <= 0
         ):
             connection.abort()
--- a/garnetrelay/discovery/host_list.py
+++ b/garnetrelay/discovery/host_list.py
@@ -8,7 +8,7 @@
 import contextlib
 import dataclasses
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from garnetrelay.config.deployment import Address, Config
@@ -16,6 +16,7 @@
 
 MAX_VERSION_BYTES = 4 << 20  # of one version of the list
 MAX_VERSION_VALUES = 400_000  # JSON values in a version: each takes far more memory than its bytes
+MAX_START_MS = 1 << 62
 MAX_LOGGED_HOSTS = 8  # in one log line
 QUOTED_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
@@ -35,6 +36,7 @@
     entries: tuple[io.HostEntry, ...]
     addresses: dict[str, Address]
     current: bool = True  # False: from a watch at an address that discovery has moved away from
+    starts: dict[str, int] = field(default_factory=dict)  # when hosts last started, Unix time in ms; 0: long ago
 
     def from_previous_address(self) -> ListUpdate:
         """A copy marked as coming from an address that discovery has moved away from."""
@@ -51,13 +53,14 @@
     def read(self, raw: Any) -> ListUpdate:
         """Parse a version. Raises ValueError if any part of it is malformed."""
         try:
-            entries, addresses = [], {}
+            entries, addresses, starts = [], {}, {}
             for line in raw["endpoints"]:
                 entry = self._entry(line)
                 entries.append(entry)
                 if entry.availability is not io.Availability.DELETED:
                     addresses[entry.host] = Address.parse(line["address"])
-            return ListUpdate(int(raw["index"]), bool(raw["snapshot"]), tuple(entries), addresses)
+                    starts[entry.host] = _start_ms(line.get("since_ms"))
+            return ListUpdate(int(raw["index"]), bool(raw["snapshot"]), tuple(entries), addresses, starts=starts)
         except (KeyError, TypeError, AttributeError) as error:
             raise ValueError(f"{type(error).__name__}: {error}") from None
 
@@ -67,12 +70,14 @@
         lines = raw.get("endpoints") if isinstance(raw, dict) else None
         entries: list[io.HostEntry] = []
         addresses: dict[str, Address] = {}
+        starts: dict[str, int] = {}
         for line in lines if isinstance(lines, list) else ():
             with contextlib.suppress(ValueError):
                 update = self.read({"index": index, "snapshot": False, "endpoints": [line]})
                 entries += update.entries
                 addresses |= update.addresses
-        return ListUpdate(index, False, tuple(entries), addresses)
+                starts |= update.starts
+        return ListUpdate(index, False, tuple(entries), addresses, starts=starts)
 
     def _entry(self, line: dict[str, Any]) -> io.HostEntry:
         if line["status"] not in AVAILABILITY_BY_STATUS:
@@ -87,6 +92,11 @@
         )
 
 
+def _start_ms(value: object) -> int:
+    """When a host last started; 0 if that is not told in a readable form."""
+    return int(value) if isinstance(value, int | float) and 0 < value < MAX_START_MS else 0
+
+
 def describe(update: ListUpdate) -> str:
     """One log line about a version: its size, and which hosts receive no new messages from now on."""
     leaving = [entry.host for entry in update.entries if entry.availability is not io.Availability.RUNNING]
--- a/garnetrelay/handover/learned.py
+++ b/garnetrelay/handover/learned.py
@@ -56,7 +56,17 @@
             address = update.addresses.get(entry.host)
             host, port = ("", 0) if address is None else (address.host, address.port)
             endpoints.append(
-                Endpoint(entry.host, entry.zone, entry.kind, entry.dest, entry.availability.value, entry.rate, host, port)
+                Endpoint(
+                    entry.host,
+                    entry.zone,
+                    entry.kind,
+                    entry.dest,
+                    entry.availability.value,
+                    entry.rate,
+                    host,
+                    port,
+                    update.starts.get(entry.host, 0),
+                )
             )
         self._append(self._frame(whole=update.whole, endpoints=endpoints))
 
--- a/garnetrelay/handover/protocol.py
+++ b/garnetrelay/handover/protocol.py
@@ -51,6 +51,7 @@
     rate: float
     host: str
     port: int
+    start_ms: int = 0  # when it last started, Unix time; 0: long ago, or told by a process that does not know
 
 
 class State(msgspec.Struct, array_like=True, tag="state"):
@@ -93,6 +94,7 @@
     name: str
     host: str
     port: int
+    connected_ms: int = 0  # when it was established, Unix time; 0: unknown
 
 
 class IdleHosts(msgspec.Struct, array_like=True, tag="idle"):
@@ -112,6 +114,7 @@
     started: int
     stop_at: int
     used: bool
+    connected_ms: int = 0  # when its connection was established, Unix time; 0: unknown
 
 
 class Calls(msgspec.Struct, array_like=True, tag="calls"):
--- a/garnetrelay/handover/transfer.py
+++ b/garnetrelay/handover/transfer.py
@@ -48,6 +48,7 @@
                 entry.rate,
                 address.host,
                 address.port,
+                relay.host_table.starts.get(name, 0),
             )
         )
     return endpoints
@@ -71,7 +72,9 @@
 
 
 def _send_idle(channel: Channel, connections: list[net.Connection]) -> None:
-    frame = p.IdleHosts([p.IdleConnection(idle.host, idle.address.host, idle.address.port) for idle in connections])
+    frame = p.IdleHosts(
+        [p.IdleConnection(idle.host, idle.address.host, idle.address.port, idle.connected_ms) for idle in connections]
+    )
     channel.send(frame, [idle.descriptor for idle in connections])
     for idle in connections:
         idle.close_after_handover()
@@ -95,6 +98,7 @@
         message.sent_at,
         exchange.stop_at,
         connection.used,
+        connection.connected_ms,
     )
 
 
--- a/garnetrelay/recovery.py
+++ b/garnetrelay/recovery.py
@@ -107,14 +107,15 @@
 
     def _restore_handover(self, state: State) -> None:
         """Restore the list of hosts and the Pacer's snapshot from the previous process."""
-        entries, addresses = [], {}
+        entries, addresses, starts = [], {}, {}
         for e in state.endpoints:
             entries.append(io.HostEntry(e.name, e.zone, e.kind, e.dest, io.Availability(e.availability), e.rate))
             addresses[e.name] = Address(e.host, e.port)
+            starts[e.name] = e.start_ms
         self.host_table.restore_delisted(state.delisted)
         # A discovery service at another address may number its versions differently: it is asked for the whole list.
         self.discovery.index = state.index if state.discovery == str(self.config.discovery) else 0
-        update = ListUpdate(state.index, True, tuple(entries), addresses)
+        update = ListUpdate(state.index, True, tuple(entries), addresses, starts=starts)
         self.host_table.apply(update)
         self.inbox.append(io.Roster(io.ListScope.CACHED, update.entries))
         self.tick()
--- a/garnetrelay/relay.py
+++ b/garnetrelay/relay.py
@@ -284,9 +284,11 @@
                 continue
             attempt = Attempt(self, message, call.name, message.attempts - 1, call.started, call.stop_at, True)
             message.exchange, message.sent_at, message.zone = attempt.exchange(), call.started, call.zone
-            await self.hosts.adopt(connection, call.name, Address(call.host, call.port), call.used, message.exchange)
+            address = Address(call.host, call.port)
+            await self.hosts.adopt(connection, call.name, address, call.used, message.exchange, call.connected_ms)
         for idle, connection in handover.idle:
-            await self.hosts.adopt(connection, idle.name, Address(idle.host, idle.port), True, None)
+            address = Address(idle.host, idle.port)
+            await self.hosts.adopt(connection, idle.name, address, True, None, idle.connected_ms)
         for client, connection in handover.clients:
             await self.server.adopt(connection, client.raw, client.has_sent_command)
         return await self.server.listen(handover.listener)
@@ -309,11 +311,21 @@
         if update is None:
             self.post(io.Roster(io.ListScope.FAILED, ()))
             return
-        self.host_table.apply(update)
+        restarted = self.host_table.apply(update)
         if self.predecessor is not None:
             self.predecessor.on_list_update(update)
         scope = io.ListScope.WHOLE if update.whole else io.ListScope.CHANGES
         self.post(io.Roster(scope, update.entries, update.current))
+        for host in restarted:
+            self._on_host_restarted(host)
+
+    def _on_host_restarted(self, host: str) -> None:
+        """A host has started anew under its name: it is cold, like one that operators have let back."""
+        age_ns = time.time_ns() - self.host_table.starts.get(host, 0) * MS
+        if host not in self.pacer.excluded and age_ns < self.settings.rules.ramp_time:
+            log.info("%s has started anew", host)
+            self.post(io.Excluded(host, True))
+            self.post(io.Excluded(host, False))
 
     def exclude(self, host: str, out: bool) -> None:
         """An operator excluded a host, or included it again. No call begins before the Pacer has handled the event."""
