A client's connection has a module of its own: fronts/resp/connection.py

Change: Connection and Reply move, word for word, to connection.py, which says what it needs of the server by a Protocol. Tests and planted faults name the module where what they replace is now. No behaviour.

--- a/garnetrelay/ends/notifier.py
+++ b/garnetrelay/ends/notifier.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from garnetrelay.ends.held import EndNotice, HeldNotices
-from garnetrelay.fronts.resp.server import Reply
+from garnetrelay.fronts.resp.connection import Reply
 from garnetrelay.platform.notices import Notices
 from garnetrelay.store.store import Store
 
--- a/garnetrelay/handover/transfer.py
+++ b/garnetrelay/handover/transfer.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from garnetrelay.delivery.http import connection as net
-    from garnetrelay.fronts.resp import server as front
+    from garnetrelay.fronts.resp import connection as front
     from garnetrelay.handover.interface import HandoverRelay
     from garnetrelay.pending import PendingMessage
 
--- a/garnetrelay/intake.py
+++ b/garnetrelay/intake.py
@@ -14,8 +14,8 @@
 from garnetrelay.counters import Counters
 from garnetrelay.discovery.client import Discovery
 from garnetrelay.ends.notifier import EndNotifier
+from garnetrelay.fronts.resp.connection import Reply
 from garnetrelay.fronts.resp.requests import RejectedError, Request
-from garnetrelay.fronts.resp.server import Reply
 from garnetrelay.host_table import HostTable
 from garnetrelay.pending import NewRequest, PendingMessage
 from garnetrelay.store.format import Entry
--- a/garnetrelay/pending.py
+++ b/garnetrelay/pending.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 
 from garnetrelay.delivery.http.connection import Exchange
+from garnetrelay.fronts.resp.connection import Reply
 from garnetrelay.fronts.resp.requests import Request
-from garnetrelay.fronts.resp.server import Reply
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/fronts/test_command_queue.py
+++ b/tests/fronts/test_command_queue.py
@@ -14,7 +14,7 @@
 
 from garnetrelay.fronts.resp.client_error_log import ClientErrorLog
 from garnetrelay.fronts.resp.command_queue import MAX_COMMANDS_PER_ITERATION, CommandQueue
-from garnetrelay.fronts.resp.server import Connection
+from garnetrelay.fronts.resp.connection import Connection
 from tests.sockets import Client, Field, until
 
 PING = b"*1\r\n$4\r\nPING\r\n"
--- a/tests/fronts/test_rejected_clients.py
+++ b/tests/fronts/test_rejected_clients.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from garnetrelay.fronts.resp.server import Reply
+from garnetrelay.fronts.resp.connection import Reply
 from starlingwick import interface as io
 from starlingwick.control import Pacer
 from tests.sockets import Client, Field, until
--- a/tests/fronts/test_request_memory.py
+++ b/tests/fronts/test_request_memory.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from garnetrelay.fronts.resp import server as resp_server
+from garnetrelay.fronts.resp import connection as resp_connection
 from garnetrelay.fronts.resp.request_memory import RequestMemory
 from tests.sockets import Client, Field, until
 
@@ -27,7 +27,7 @@
     field: Field, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Nothing limited the bytes of all connections together: 900 clients took a relay over its memory limit."""
-    monkeypatch.setattr(resp_server, "COMMAND_TIMEOUT_S", 3600)  # only the limit of the memory rejects
+    monkeypatch.setattr(resp_connection, "COMMAND_TIMEOUT_S", 3600)  # only the limit of the memory rejects
     field.limits["memory_mb"] = 8
     slow = await field.start()
     assert field.relays[0].server.memory.limit == LIMIT
--- a/tests/rehearsal/faults.py
+++ b/tests/rehearsal/faults.py
@@ -18,7 +18,7 @@
 from garnetrelay import relay as core
 from garnetrelay.delivery.http import answers, connection, hosts
 from garnetrelay.discovery import client, host_list
-from garnetrelay.fronts.resp import server
+from garnetrelay.fronts.resp import connection as resp_connection
 from garnetrelay.operators import exclusions
 from garnetrelay.platform import notices
 from garnetrelay.store import store
@@ -101,7 +101,7 @@
 
         return wrong
 
-    replaced(server, "parse_enqueue", make)
+    replaced(resp_connection, "parse_enqueue", make)
 
 
 def told_as_dead_too() -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -21,8 +21,10 @@
 from garnetrelay.delivery.http.requests import probe_request
 from garnetrelay.discovery import host_list, watches
 from garnetrelay.discovery.host_list import ObjectSplitter, UnreadableListError
+from garnetrelay.fronts.resp import connection as resp_connection
 from garnetrelay.fronts.resp import server as resp_server
 from garnetrelay.fronts.resp.listener import ACCEPT_TICKS
+from garnetrelay.fronts.resp.requests import Request
 from garnetrelay.handover.channel import HandoverSocket
 from garnetrelay.handover.protocol import VERSION, Hello
 from garnetrelay.platform import notices
@@ -316,7 +318,7 @@
     client.sendall(enqueue("m1")[:30])
     wait_until_queued(server)
     loop = asyncio.get_running_loop()
-    handed_over: asyncio.Future[list[resp_server.Connection]] = loop.create_future()
+    handed_over: asyncio.Future[list[resp_connection.Connection]] = loop.create_future()
 
     async def hand_over() -> None:
         listener = await server.listener.detach()
@@ -342,14 +344,14 @@
     client.sendall(hiredis.pack_command(("PING",)))
     await until(lambda: bool(relay.server.idle))
     (connection,) = relay.server.connections
-    original = vars(resp_server.Connection)["between_requests"]
+    original = vars(resp_connection.Connection)["between_requests"]
 
-    def checked_before_request(one: resp_server.Connection) -> bool:
+    def checked_before_request(one: resp_connection.Connection) -> bool:
         result = original.fget(one)
         client.sendall(enqueue("m1"))  # after the check, before the close
         return bool(result)
 
-    monkeypatch.setattr(resp_server.Connection, "between_requests", property(checked_before_request))
+    monkeypatch.setattr(resp_connection.Connection, "between_requests", property(checked_before_request))
     relay.server.drain()
     await until(lambda: connection.closing)
     assert connection.transport is not None
@@ -399,7 +401,7 @@
     handler = relay.server.handler
     ended = []
 
-    def handle(request: resp_server.Request, reply: resp_server.Reply) -> None:
+    def handle(request: Request, reply: resp_connection.Reply) -> None:
         handler(request, reply)
         relay.server.draining = True  # the drain begins now
         relay._end_if_idle()
@@ -447,7 +449,7 @@
     handled: list[str] = []
     handler = relay.server.handler
 
-    def handle(request: resp_server.Request, reply: resp_server.Reply) -> None:
+    def handle(request: Request, reply: resp_connection.Reply) -> None:
         handled.append(request.ref)
         handler(request, reply)
 
@@ -472,13 +474,13 @@
     first = await field.start()  # kept referenced: the connection closes when collected
     server = field.relays[0].server
     await until(lambda: len(server.connections) == 1)
-    connection_made = resp_server.Connection.connection_made
+    connection_made = resp_connection.Connection.connection_made
 
-    def made_after_end(one: resp_server.Connection, transport: asyncio.BaseTransport) -> None:
+    def made_after_end(one: resp_connection.Connection, transport: asyncio.BaseTransport) -> None:
         server.end()
         connection_made(one, transport)
 
-    monkeypatch.setattr(resp_server.Connection, "connection_made", made_after_end)
+    monkeypatch.setattr(resp_connection.Connection, "connection_made", made_after_end)
     client = socket.create_connection(("127.0.0.1", field.port))
     client.sendall(enqueue("m1"))
     await until(lambda: len(server.connections) == 2)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -17,6 +17,7 @@
 import pytest_asyncio
 
 from garnetrelay.config.deployment import OPERATOR_DESCRIPTORS, RESERVED_DESCRIPTORS
+from garnetrelay.fronts.resp import connection as resp_connection
 from garnetrelay.fronts.resp import server as resp_server
 from garnetrelay.fronts.resp.listener import ACCEPT_TICKS
 from garnetrelay.operators.listener import MAX_CONNECTIONS
@@ -206,7 +207,7 @@
 ) -> None:
     """Its answers cannot be written, so its connection never closed, and as it was busy, it was not closed in favour of
     another either."""
-    monkeypatch.setattr(resp_server, "LINGER_S", 0.0)
+    monkeypatch.setattr(resp_connection, "LINGER_S", 0.0)
     await field.start()
     relay = field.relays[0]
     client = await Client.connect(field.port)
@@ -221,10 +222,10 @@
     client.writer.transport.abort()
 
 
-async def connection_from(relay: Relay, address: tuple[str, int]) -> resp_server.Connection:
+async def connection_from(relay: Relay, address: tuple[str, int]) -> resp_connection.Connection:
     """The relay's side of a client's connection."""
 
-    def found() -> list[resp_server.Connection]:
+    def found() -> list[resp_connection.Connection]:
         every = relay.server.connections
         return [one for one in every if one.transport and one.transport.get_extra_info("peername") == address]
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,6 +10,7 @@
 from garnetrelay.delivery.http import connection as host_connection
 from garnetrelay.delivery.http.answers import AnswerReader, Outcome
 from garnetrelay.discovery import watches
+from garnetrelay.fronts.resp import connection as resp_connection
 from garnetrelay.fronts.resp import server as resp_server
 from garnetrelay.fronts.resp.tcp_state import read_tcp_state
 from garnetrelay.rehearsal.scripted_peers import ScriptedHost
@@ -158,8 +159,8 @@
 ) -> None:
     """The time limit runs from the start of the command: single bytes do not extend it. A client that has sent a whole
     command may stay."""
-    assert resp_server.COMMAND_TIMEOUT_S < 3
-    monkeypatch.setattr(resp_server, "COMMAND_TIMEOUT_S", 0.2)
+    assert resp_connection.COMMAND_TIMEOUT_S < 3
+    monkeypatch.setattr(resp_connection, "COMMAND_TIMEOUT_S", 0.2)
     usual = await field.start()
     assert await usual.ask("PING") == b"PONG"
     bad = await Client.connect(field.port)
@@ -178,7 +179,7 @@
 
 async def test_sender_of_a_large_body_can_read_the_error(field: Field, monkeypatch: pytest.MonkeyPatch) -> None:
     """It reads only after it has sent everything, long after the relay has rejected it."""
-    monkeypatch.setattr(resp_server, "LINGER_S", 0.1)
+    monkeypatch.setattr(resp_connection, "LINGER_S", 0.1)
     client = await field.start()
     client.write("PING")
     client.writer.write(b"*1\r\n$60000000\r\n")
