Commands of a client that has ended its sending are refused at the process's end

Change: they are refused with -BUSY, like those that no process takes over in an upgrade. A test of a failed upgrade with a host that operators excluded, through the old process.

--- a/garnetrelay/fronts/resp/connection.py
+++ b/garnetrelay/fronts/resp/connection.py
@@ -190,8 +190,8 @@
             self.transport.abort()
 
     def refuse_unhandled(self) -> None:
-        """Refuse the commands that were read and not handled, and close once the client has read its answers. For a
-        connection that no process takes over from this one."""
+        """Refuse the commands that were read and not handled, and close once the answers are written. For a connection
+        that nobody takes over as this process ends or hands over the relay."""
         self.closing = True
         self.server.command_queue.discard(self)
         with contextlib.suppress(ProtocolError):
@@ -519,5 +519,7 @@
         if self.closing or self.lost or self.transport is None:
             return
         self.transport.pause_reading()
-        if not self.replies:
+        if self.acknowledge_timer is not None:
+            self.refuse_unhandled()
+        elif not self.replies:
             self._half_close(self.transport)
--- a/tests/fronts/test_command_queue.py
+++ b/tests/fronts/test_command_queue.py
@@ -128,7 +128,8 @@
     assert not relay.pending and not connection.raw
 
 
-async def test_commands_that_no_process_takes_over_are_refused(field: Field) -> None:
+@pytest.mark.parametrize("why", ["upgrade", "end"])
+async def test_commands_that_no_process_takes_over_are_refused(field: Field, why: str) -> None:
     """A client that read no answers kept its connection to the old process of an upgrade, which never answered what it
     had read of it."""
     client = await field.start()
@@ -138,7 +139,11 @@
     connection.pause_writing()
     connection.receive(payments(3))
     assert connection.raw and not relay.pending
-    relay.server.close_after_handover()
+    if why == "end":  # the client has ended its sending, and its kernel has yet to acknowledge an answer
+        connection._check_later(connection.server.now() + 3600)
+        relay.server.end()
+    else:
+        relay.server.close_after_handover()
     assert [await client.read() for _ in range(4)] == ["BUSY"] * 3 + [None]
     assert not relay.pending and not relay.new_requests
 
--- a/tests/handover/test_failed_upgrade.py
+++ b/tests/handover/test_failed_upgrade.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import time
 from collections.abc import AsyncIterator
@@ -115,6 +116,24 @@
     assert time.monotonic() - told_at >= WAIT_MS / 1000
 
 
+async def test_an_exclusion_is_kept_when_the_new_process_dies(
+    field: Field, relay: Upgraded, second: ScriptedHost
+) -> None:
+    """It reached the new process through the old one."""
+    port = field.free_port()
+    await relay.start({"RELAY_OPS": f"127.0.0.1:{port}"})
+    await relay.replace()
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"OFFLINE s-1\n")
+    assert await reader.readline() == b"+OK\n"
+    writer.close()
+    client = await kill_new_process(relay)
+    for n in range(8):  # more than once round both hosts
+        assert await client.enqueue(f"m{n}", "unsafe") == b"OK"
+        (await second.next_call()).answer(200)
+    assert field.host.calls.empty()
+
+
 class Learner:
     """A relay of two destinations in which only the Pacer is real, and the frames that its recorder appends."""
 
