--- a/garnetrelay/fronts/resp/command_queue.py
+++ b/garnetrelay/fronts/resp/command_queue.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-MAX_COMMANDS_PER_ITERATION = 32  # of all connections that wait for their turn
+MAX_COMMANDS_PER_ITERATION = 8  # of all connections that wait for their turn
 
 
 class CommandSource(Protocol):
@@ -28,8 +28,8 @@
         self._waiting: dict[CommandSource, None] = {}  # the next one first
         self._scheduled = False
 
-    def __contains__(self, source: object) -> bool:
-        return source in self._waiting
+    def __len__(self) -> int:
+        return len(self._waiting)
 
     def add(self, source: CommandSource) -> None:
         """Let a connection have a turn behind all that wait already."""
--- a/garnetrelay/fronts/resp/connection.py
+++ b/garnetrelay/fronts/resp/connection.py
@@ -23,7 +23,8 @@
 LINGER_S = 1.0  # time without a received byte in which a rejected client may still read the reason
 MAX_LINGER_S = 5.0  # for a rejected client that goes on sending
 LAST_ANSWER_READ_S = 0.25  # time for a client to read its last answer: it waits at most 0.4 s for one
-MIN_READ_BYTES, MAX_READ_BYTES = 4 * 1024, 64 * 1024  # in one read: as many as the next command needs
+MAX_READ_BYTES = 256 * 1024  # in one read
+MIN_READ_BYTES = 4 * 1024  # the same where so many connections wait for their turn that what they hold adds up
 ACKNOWLEDGE_CHECK_S = 0.005  # between two checks whether a client that has ended its sending still reads
 ACKNOWLEDGE_TIMEOUT_S = 0.4  # a client waits no longer for its answer
 MAX_UNREAD_ANSWER_BYTES = 16 * 1024  # of a client that does not read its answers: no further command is handled
@@ -249,8 +250,9 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Where to read the next bytes: a buffer that all connections share."""
-        size = MAX_READ_BYTES if self.closing else self.reader.missing_bytes
-        return self.server.read_buffer[: min(MAX_READ_BYTES, max(MIN_READ_BYTES, size))]
+        if self.closing or len(self.server.command_queue) * MAX_READ_BYTES < self.server.memory.limit:
+            return self.server.read_buffer
+        return self.server.read_buffer[: max(MIN_READ_BYTES, self.reader.missing_bytes)]
 
     def buffer_updated(self, nbytes: int) -> None:
         self.receive(self.server.read_buffer[:nbytes])
