A client that closes as it is rejected raises no exception in other work

Change: end_sending lets the kernel refuse, at both places.

Measured: both cases of test_a_client_that_closes_as_it_is_rejected_does_no_harm failed without the mend and pass.

--- a/garnetrelay/fronts/resp/connection.py
+++ b/garnetrelay/fronts/resp/connection.py
@@ -68,6 +68,13 @@
 Handler = Callable[[Request, Reply], None]
 
 
+def end_sending(transport: asyncio.Transport) -> None:
+    """Half-close a connection. Its client may have closed the other side in this moment: the kernel then answers what was
+    just written with a reset, and refuses to end the sending."""
+    with contextlib.suppress(OSError):
+        transport.write_eof()
+
+
 class ConnectionOwner(Protocol):
     """What a connection needs of the server that it belongs to."""
 
@@ -453,8 +460,7 @@
             self._close(transport)
             return
         self.server.lingering[self] = None
-        if transport.can_write_eof():
-            transport.write_eof()
+        end_sending(transport)
         self.timer = asyncio.get_running_loop().call_later(LINGER_S, self._on_linger_end, self.server.now())
 
     def _on_linger_end(self, since: float) -> None:
@@ -512,8 +518,7 @@
         self._stop_timer()
         self.server.mark_busy(self)
         transport.pause_reading()
-        if transport.can_write_eof():
-            transport.write_eof()
+        end_sending(transport)
         self.timer = asyncio.get_running_loop().call_later(LAST_ANSWER_READ_S, transport.abort)
 
     def end(self) -> None:
--- a/tests/fronts/test_rejected_clients.py
+++ b/tests/fronts/test_rejected_clients.py
@@ -8,6 +8,7 @@
 import pytest
 
 from garnetrelay.fronts.resp.connection import Reply
+from garnetrelay.fronts.resp.tcp_state import read_tcp_state
 from starlingwick import interface as io
 from starlingwick.control import Pacer
 from tests.sockets import Client, Field, until
@@ -72,6 +73,32 @@
     assert errors == []
 
 
+@pytest.mark.parametrize("request_open", [False, True], ids=["idle", "request"])
+async def test_a_client_that_closes_as_it_is_rejected_does_no_harm(field: Field, request_open: bool) -> None:
+    """What is written to a closed socket is answered with a reset, and the half-close behind it raised an exception: in
+    the tick that answers its request, or in the reading of another client that needed its memory."""
+    client = await field.start()
+    relay = field.relays[0]
+    assert await client.ask("PING") == b"PONG"
+    (connection,) = relay.server.connections
+    assert connection.transport is not None
+    sock = connection.transport.get_extra_info("socket")
+    held: list[Reply] = []
+    if request_open:
+        relay.server.handler = lambda request, reply: held.append(reply)
+        client.write("ENQUEUE", "0", "m1", "c=safe,d=8000,dest=3", "x")
+        await until(lambda: bool(held))
+    connection.transport.pause_reading()
+    client.writer.close()
+    await until(lambda: read_tcp_state(sock).ended)
+    connection._resume_reading = lambda: None  # type: ignore[method-assign]  # its end is read later
+    connection.fail("unreadable")
+    for reply in held:
+        reply.ok()
+    connection.transport.resume_reading()
+    await until(lambda: not relay.server.connections)
+
+
 async def test_a_rejected_client_is_not_closed_for_another_before_its_request_is_answered(field: Field) -> None:
     """Rejected connections are the first to be closed when descriptors run out."""
     client = await field.start()
