A rejected client that lingers keeps its time to read the error in an upgrade

Cause: found by reading: what is refused as a relay is handed over also closed connections that were rejected before and half-closed.

Measured: tests of the front and of upgrades pass.

--- a/garnetrelay/fronts/resp/server.py
+++ b/garnetrelay/fronts/resp/server.py
@@ -74,7 +74,8 @@
     def close_after_handover(self) -> None:
         """Close the connections that were not handed over; what was not handled of them is refused."""
         for connection in list(self.connections):
-            connection.refuse_unhandled()
+            if not connection.closing:
+                connection.refuse_unhandled()
 
     async def adopt(self, sock: socket.socket, raw: bytes, has_sent_command: bool) -> None:
         """Take over a connection from another process."""
